--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+GO ?= go
+LINT_VERSION := v2.12.0
+LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
+MODULES := core mustardpostd mustardpost mustardfake
+SEED ?= 1
+DURATION ?= 60s
+
+.PHONY: build demo test unit lint format soak bench slopes generate clean
+
+build:
+	$(GO) build -o bin/mustardpostd ./mustardpostd
+	$(GO) build -o bin/mustardpost ./mustardpost
+	$(GO) build -o bin/mustardfake ./mustardfake
+
+demo: build
+	bash scripts/demo.sh
+
+test: format lint unit
+
+unit: build
+	for m in $(MODULES); do (cd $$m && $(GO) test -race -timeout 8m ./...) || exit 1; done
+
+format:
+	@out=$$(gofmt -l -s $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+
+lint: $(LINT)
+	for m in $(MODULES); do (cd $$m && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
+
+$(LINT):
+	$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/core/common/mperror/mperror.go
@@ -0,0 +1,72 @@
+// Package mperror declares the sentinel errors that cross package borders and
+// the helper that wraps them. Sentinels are errorx values; they are wrapped
+// with the standard %w verb, since errorx errors do not implement Unwrap and
+// would hide a sentinel from errors.Is.
+package mperror
+
+import (
+	"fmt"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	namespace = errorx.NewNamespace("mustardpost")
+	input     = namespace.NewType("input")
+	state     = namespace.NewType("state")
+	overload  = namespace.NewType("overload", errorx.Temporary())
+	upstream  = namespace.NewType("upstream")
+)
+
+var (
+	// ErrInvalid marks input that can never be accepted as it stands.
+	ErrInvalid = input.New("invalid")
+	// ErrNotFound marks a name that the catalogue does not hold.
+	ErrNotFound = input.New("not found")
+	// ErrConflict marks a change made against a row that has changed since.
+	ErrConflict = input.New("conflict")
+	// ErrDenied marks a missing or wrong key or token.
+	ErrDenied = input.New("denied")
+
+	// ErrNotLeader marks a request that only the leader may answer.
+	ErrNotLeader = state.New("not the leader")
+	// ErrNoLease marks work refused because this VM's lease has run out.
+	ErrNoLease = state.New("no lease")
+	// ErrNotOwner marks a permit request sent to a VM that does not own the group.
+	ErrNotOwner = state.New("not the owner")
+	// ErrCorrupt marks a log or snapshot that fails its checksum before the tail.
+	ErrCorrupt = state.New("corrupt")
+	// ErrForming marks a proposal made before enough voters have joined.
+	ErrForming = state.New("too few voters have joined")
+	// ErrUnknown marks an operation whose effect is not known.
+	ErrUnknown = state.New("outcome unknown")
+	// ErrNotInForce marks a change that was accepted and is not in force everywhere yet.
+	ErrNotInForce = state.New("accepted, but not in force everywhere yet")
+	// ErrClosed marks use of a component after it was stopped.
+	ErrClosed = state.New("closed")
+
+	// ErrFull marks a full queue or an exhausted limit.
+	ErrFull = overload.New("full")
+	// ErrLate marks work that cannot finish within its deadline.
+	ErrLate = overload.New("cannot finish within the deadline")
+	// ErrStarting marks an owner that has not yet learned which permits are out.
+	ErrStarting = overload.New("owner is starting")
+
+	// ErrPoison marks a request convicted of crashing upstreams.
+	ErrPoison = upstream.New("request crashes upstreams")
+	// ErrCrashed marks an attempt whose connection was reset or refused.
+	ErrCrashed = upstream.New("upstream connection lost")
+	// ErrAnswer marks an upstream answer that is broken, crossed or not whole.
+	ErrAnswer = upstream.New("bad upstream answer")
+	// ErrEmpty marks a group without any usable upstream.
+	ErrEmpty = upstream.New("no upstream in service")
+)
+
+// Wrap adds what was being done to err and keeps err visible to errors.Is.
+// It returns nil for a nil err.
+func Wrap(err error, format string, args ...any) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", fmt.Sprintf(format, args...), err)
+}
