--- /dev/null
+++ b/core/process/mpquorum/types.go
@@ -0,0 +1,177 @@
+package mpquorum
+
+import "time"
+
+// Member identifies one life of one voter's disk. A VM that lost its disk
+// returns under a new Member.
+type Member uint64
+
+// Kind tells what an Entry carries.
+type Kind uint8
+
+const (
+	// KindData carries a command for the replicated state.
+	KindData Kind = iota
+	// KindNoop marks the start of a leader's term.
+	KindNoop
+	// KindConfig carries an encoded Membership.
+	KindConfig
+)
+
+// Entry is one record of the log.
+type Entry struct {
+	Index uint64 `msgpack:"index"`
+	Term  uint64 `msgpack:"term"`
+	Kind  Kind   `msgpack:"kind"`
+	Data  []byte `msgpack:"data"`
+}
+
+// Seat is one member's row in a Membership.
+type Seat struct {
+	Member  Member `msgpack:"member"`
+	VM      string `msgpack:"vm"`
+	Address string `msgpack:"address"`
+	Voter   bool   `msgpack:"voter"`
+}
+
+// Membership lists the members in force from the entry that carries it on.
+type Membership struct {
+	Seats []Seat `msgpack:"seats"`
+}
+
+// Hard is the part of the state that must survive a restart besides the log.
+type Hard struct {
+	Term uint64 `msgpack:"term"`
+	Vote Member `msgpack:"vote"`
+}
+
+// Snapshot replaces all entries up to Index.
+type Snapshot struct {
+	Index   uint64     `msgpack:"index"`
+	Term    uint64     `msgpack:"term"`
+	Members Membership `msgpack:"members"`
+	Data    []byte     `msgpack:"data"`
+}
+
+// Event is something that happened to a member.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Propose asks the leader to append one entry for each element of Data.
+type Propose struct{ Data [][]byte }
+
+// Reconfigure asks the leader to replace the membership. At most one seat may
+// differ from the present one.
+type Reconfigure struct{ Members Membership }
+
+// Transfer asks the leader to hand its role to the most advanced other voter.
+type Transfer struct{}
+
+// Receive delivers a message from another member.
+type Receive struct{ Envelope Envelope }
+
+func (Tick) event()        {}
+func (Propose) event()     {}
+func (Reconfigure) event() {}
+func (Transfer) event()    {}
+func (Receive) event()     {}
+
+// Envelope addresses one message. Exactly one of the pointers is set. Address
+// is where the sender takes replies, for receivers that lack its seat.
+type Envelope struct {
+	From     Member         `msgpack:"from"`
+	To       Member         `msgpack:"to"`
+	Address  string         `msgpack:"address"`
+	Term     uint64         `msgpack:"term"`
+	Ask      *VoteRequest   `msgpack:"ask,omitempty"`
+	Vote     *VoteReply     `msgpack:"vote,omitempty"`
+	Append   *AppendRequest `msgpack:"append,omitempty"`
+	Ack      *AppendReply   `msgpack:"ack,omitempty"`
+	Snapshot *Snapshot      `msgpack:"snapshot,omitempty"`
+	Campaign *Campaign      `msgpack:"campaign,omitempty"`
+}
+
+// VoteRequest asks for a vote. A Pre request changes no state.
+type VoteRequest struct {
+	Pre   bool   `msgpack:"pre"`
+	Force bool   `msgpack:"force"`
+	Index uint64 `msgpack:"index"`
+	Term  uint64 `msgpack:"last"`
+}
+
+// VoteReply answers a VoteRequest.
+type VoteReply struct {
+	Pre     bool `msgpack:"pre"`
+	Granted bool `msgpack:"granted"`
+}
+
+// AppendRequest extends the receiver's log after (Prev, PrevTerm). Sent is the
+// leader's clock and returns in the reply.
+type AppendRequest struct {
+	Prev     uint64        `msgpack:"prev"`
+	PrevTerm uint64        `msgpack:"prevterm"`
+	Commit   uint64        `msgpack:"commit"`
+	Sent     time.Duration `msgpack:"sent"`
+	Entries  []Entry       `msgpack:"entries"`
+}
+
+// AppendReply answers an AppendRequest or a Snapshot. When Ok, Match is the
+// last index known to agree; otherwise Match is where the leader should retry.
+type AppendReply struct {
+	Ok    bool          `msgpack:"ok"`
+	Match uint64        `msgpack:"match"`
+	Sent  time.Duration `msgpack:"sent"`
+}
+
+// Campaign tells a voter to start an election at once.
+type Campaign struct{}
+
+// Actions is what a Step asks for. The caller persists Hard, Snapshot and
+// Entries and synchronises them before it sends Messages and applies Commits.
+type Actions struct {
+	Hard      *Hard
+	Snapshot  *Snapshot
+	Entries   []Entry
+	Messages  []Envelope
+	Committed []Entry
+}
+
+func (m Membership) seat(id Member) (Seat, bool) {
+	for _, s := range m.Seats {
+		if s.Member == id {
+			return s, true
+		}
+	}
+	return Seat{}, false
+}
+
+// Voters returns the members that vote.
+func (m Membership) Voters() []Member {
+	var ids []Member
+	for _, s := range m.Seats {
+		if s.Voter {
+			ids = append(ids, s.Member)
+		}
+	}
+	return ids
+}
+
+// With returns a copy in which s replaces or joins the seat of its member.
+func (m Membership) With(s Seat) Membership {
+	next := m.Without(s.Member)
+	next.Seats = append(next.Seats, s)
+	return next
+}
+
+// Without returns a copy that lacks the seat of id.
+func (m Membership) Without(id Member) Membership {
+	next := Membership{Seats: make([]Seat, 0, len(m.Seats)+1)}
+	for _, s := range m.Seats {
+		if s.Member != id {
+			next.Seats = append(next.Seats, s)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/core/process/mpreplica/replica.go
@@ -0,0 +1,518 @@
+// Package mpreplica runs one member of a replicated log: it feeds events to
+// mpquorum, persists what it asks for, sends its messages and applies committed
+// entries to a state machine. Proposals that arrive while the disk is busy are
+// written together.
+package mpreplica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mpdisk"
+	"mustardpost.org/core/process/mpquorum"
+)
+
+const (
+	tickEvery    = 20 * time.Millisecond
+	inboxSize    = 4096
+	batchLimit   = 512
+	keepEntries  = 1000
+	promoteSlack = 64
+)
+
+// Machine is the state that the log drives. Its methods are called from one
+// goroutine, but it must allow readers at the same time.
+type Machine interface {
+	// Apply executes one command at index and returns its result.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot captures the whole state and returns a function that encodes
+	// it. That function may run beside later calls of Apply.
+	Snapshot() func() ([]byte, error)
+	// Restore replaces the state by the one that Snapshot encoded.
+	Restore(data []byte) error
+}
+
+// Sender passes messages to other members. Send must not block; it may drop.
+type Sender interface {
+	Send(address string, e mpquorum.Envelope)
+}
+
+// Config holds what a Replica needs from outside.
+type Config struct {
+	Self mpquorum.Member
+	// Address is this member's own peer address.
+	Address string
+	Store   *mpdisk.Store
+	Loaded  mpdisk.Loaded
+	Machine Machine
+	Sender  Sender
+	Logger  log.Logger
+	Quorum  mpquorum.Config
+	// SnapshotAt is the length of the log file, in bytes, that starts a snapshot.
+	SnapshotAt int64
+	// OnLeading is told when this member starts or stops to lead.
+	OnLeading func(now time.Time, leading bool)
+}
+
+type proposal struct {
+	command []byte
+	done    chan outcome
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+type written struct {
+	snap mpquorum.Snapshot
+	err  error
+}
+
+type waiting struct {
+	term uint64
+	done chan outcome
+}
+
+// Status describes a replica for operators.
+type Status struct {
+	Member  mpquorum.Member     `json:"member"`
+	Leader  string              `json:"leader"`
+	Leading bool                `json:"leading"`
+	Term    uint64              `json:"term"`
+	Commit  uint64              `json:"commit"`
+	Last    uint64              `json:"last"`
+	Members mpquorum.Membership `json:"members"`
+}
+
+// Replica is one running member.
+type Replica struct {
+	cfg       Config
+	proposals chan proposal
+	events    chan mpquorum.Event
+	calls     chan func(now time.Time)
+	snapped   chan written
+	quit      chan struct{}
+	stopped   chan struct{}
+
+	// The loop alone uses these.
+	node     *mpquorum.Node
+	pending  map[uint64]waiting
+	senders  map[mpquorum.Member]string
+	leading  bool
+	snapping bool
+	hard     mpquorum.Hard
+
+	mu       sync.RWMutex
+	status   Status
+	leadSeat mpquorum.Seat
+	failure  error
+}
+
+// New restores the state machine from what the disk held and returns a
+// replica that is ready to Run.
+func New(cfg Config) (*Replica, error) {
+	q := cfg.Quorum
+	q.Self = cfg.Self
+	q.Hard = cfg.Loaded.Hard
+	q.Snapshot = cfg.Loaded.Snapshot
+	q.Entries = cfg.Loaded.Entries
+	node, err := mpquorum.New(q)
+	if err != nil {
+		return nil, err
+	}
+	if len(cfg.Loaded.Snapshot.Data) > 0 {
+		if err := cfg.Machine.Restore(cfg.Loaded.Snapshot.Data); err != nil {
+			return nil, mperror.Wrap(err, "restore snapshot %d", cfg.Loaded.Snapshot.Index)
+		}
+	}
+	r := &Replica{
+		cfg:       cfg,
+		proposals: make(chan proposal, inboxSize),
+		events:    make(chan mpquorum.Event, inboxSize),
+		calls:     make(chan func(time.Time)),
+		snapped:   make(chan written, 1),
+		quit:      make(chan struct{}),
+		stopped:   make(chan struct{}),
+		node:      node,
+		pending:   map[uint64]waiting{},
+		senders:   map[mpquorum.Member]string{},
+		hard:      cfg.Loaded.Hard,
+	}
+	r.publish()
+	return r, nil
+}
+
+// Run drives the replica until Stop. It returns the disk error that ended it,
+// if one did.
+func (r *Replica) Run() error {
+	defer close(r.stopped)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-r.quit:
+			r.failAll(mperror.ErrUnknown)
+			return nil
+		case <-ticker.C:
+			err = r.tick(time.Now())
+		case e := <-r.events:
+			err = r.step(time.Now(), e)
+		case p := <-r.proposals:
+			err = r.propose(time.Now(), p)
+		case f := <-r.calls:
+			f(time.Now())
+		case w := <-r.snapped:
+			err = r.finishCompact(w)
+		}
+		if err != nil {
+			r.fail(err)
+			return err
+		}
+	}
+}
+
+// Stop ends Run and waits for it.
+func (r *Replica) Stop() {
+	close(r.quit)
+	<-r.stopped
+}
+
+// Receive delivers a message from another member; it drops it when overrun,
+// which the protocol tolerates.
+func (r *Replica) Receive(e mpquorum.Envelope) {
+	select {
+	case r.events <- mpquorum.Receive{Envelope: e}:
+	default:
+	}
+}
+
+// Propose commits command and returns its result. ErrNotLeader means that it
+// was not and never will be committed; ErrUnknown that it may yet be.
+func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	p := proposal{command: command, done: make(chan outcome, 1)}
+	select {
+	case r.proposals <- p:
+	case <-r.stopped:
+		return nil, mperror.ErrNotLeader
+	case <-ctx.Done():
+		return nil, mperror.ErrNotLeader
+	}
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-r.stopped:
+		return nil, mperror.ErrUnknown
+	case <-ctx.Done():
+		return nil, mperror.ErrUnknown
+	}
+}
+
+// HasLease reports whether this member leads and no other can have been
+// elected at the moment of the call. The answer comes from the loop, so it is
+// never older than the call.
+func (r *Replica) HasLease() bool {
+	answer := make(chan bool, 1)
+	ok := r.call(func(now time.Time) { answer <- r.node.HasLease(now) })
+	return ok && <-answer
+}
+
+// Enroll adds seat as a learner, or promotes it and removes the older members
+// of the same VM. It reports whether seat votes now, and is called repeatedly.
+func (r *Replica) Enroll(seat mpquorum.Seat) (bool, error) {
+	type reply struct {
+		done bool
+		err  error
+	}
+	answer := make(chan reply, 1)
+	ok := r.call(func(now time.Time) {
+		done, err := r.enroll(now, seat)
+		answer <- reply{done, err}
+	})
+	if !ok {
+		return false, mperror.ErrNotLeader
+	}
+	got := <-answer
+	return got.done, got.err
+}
+
+// Transfer hands leadership to another voter if this member leads.
+func (r *Replica) Transfer() {
+	r.call(func(now time.Time) {
+		if r.node.IsLeader() {
+			_ = r.step(now, mpquorum.Transfer{})
+		}
+	})
+}
+
+// Status returns a copy of the last published state.
+func (r *Replica) Status() Status {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.status
+}
+
+// Leader returns the seat of the leader that this member follows.
+func (r *Replica) Leader() mpquorum.Seat {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.leadSeat
+}
+
+func (r *Replica) call(f func(now time.Time)) bool {
+	done := make(chan struct{})
+	wrapped := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case r.calls <- wrapped:
+		<-done
+		return true
+	case <-r.stopped:
+		return false
+	}
+}
+
+func (r *Replica) tick(now time.Time) error {
+	r.compact()
+	return r.step(now, mpquorum.Tick{})
+}
+
+func (r *Replica) propose(now time.Time, first proposal) error {
+	batch := []proposal{first}
+	for len(batch) < batchLimit {
+		select {
+		case p := <-r.proposals:
+			batch = append(batch, p)
+			continue
+		default:
+		}
+		break
+	}
+	if !r.node.IsLeader() {
+		refuse(batch, mperror.ErrNotLeader)
+		return nil
+	}
+	data := make([][]byte, len(batch))
+	next := r.node.Last() + 1
+	for i, p := range batch {
+		data[i] = p.command
+		r.pending[next+uint64(i)] = waiting{r.node.Term(), p.done}
+	}
+	err := r.step(now, mpquorum.Propose{Data: data})
+	if errors.Is(err, mperror.ErrNotLeader) {
+		for i := range batch {
+			delete(r.pending, next+uint64(i))
+		}
+		refuse(batch, mperror.ErrNotLeader)
+		return nil
+	}
+	return err
+}
+
+func refuse(batch []proposal, err error) {
+	for _, p := range batch {
+		p.done <- outcome{err: err}
+	}
+}
+
+// step advances the node and carries out its actions in their order.
+func (r *Replica) step(now time.Time, e mpquorum.Event) error {
+	if m, ok := e.(mpquorum.Receive); ok {
+		r.senders[m.Envelope.From] = m.Envelope.Address
+	}
+	acts, stepErr := r.node.Step(now, e)
+	if err := r.persist(acts); err != nil {
+		return err
+	}
+	for _, m := range acts.Messages {
+		if s, ok := r.address(m.To); ok {
+			m.Address = r.cfg.Address
+			r.cfg.Sender.Send(s, m)
+		}
+	}
+	if acts.Snapshot != nil && len(acts.Snapshot.Data) > 0 {
+		if err := r.cfg.Machine.Restore(acts.Snapshot.Data); err != nil {
+			return mperror.Wrap(err, "restore snapshot %d", acts.Snapshot.Index)
+		}
+	}
+	r.apply(acts.Committed)
+	r.noteLeading(now)
+	r.publish()
+	return stepErr
+}
+
+func (r *Replica) persist(acts mpquorum.Actions) error {
+	if acts.Hard != nil {
+		r.hard = *acts.Hard
+	}
+	if acts.Snapshot != nil {
+		if err := r.cfg.Store.WriteSnapshot(*acts.Snapshot); err != nil {
+			return err
+		}
+		return r.cfg.Store.Switch(acts.Snapshot.Index, r.hard, acts.Entries)
+	}
+	return r.cfg.Store.Save(acts.Hard, acts.Entries)
+}
+
+func (r *Replica) address(to mpquorum.Member) (string, bool) {
+	for _, s := range r.node.Members().Seats {
+		if s.Member == to {
+			return s.Address, true
+		}
+	}
+	address, ok := r.senders[to]
+	return address, ok
+}
+
+func (r *Replica) apply(entries []mpquorum.Entry) {
+	for _, e := range entries {
+		var result []byte
+		if e.Kind == mpquorum.KindData {
+			result = r.cfg.Machine.Apply(e.Index, e.Data)
+		}
+		w, ok := r.pending[e.Index]
+		if !ok {
+			continue
+		}
+		delete(r.pending, e.Index)
+		if w.term != e.Term {
+			w.done <- outcome{err: mperror.ErrNotLeader}
+			continue
+		}
+		w.done <- outcome{result: result}
+	}
+}
+
+func (r *Replica) noteLeading(now time.Time) {
+	leading := r.node.IsLeader()
+	if leading == r.leading {
+		return
+	}
+	r.leading = leading
+	level.Info(r.cfg.Logger).Log("msg", "leadership", "leading", leading, "term", r.node.Term())
+	if !leading {
+		r.failAll(mperror.ErrUnknown)
+	}
+	if r.cfg.OnLeading != nil {
+		r.cfg.OnLeading(now, leading)
+	}
+}
+
+func (r *Replica) failAll(err error) {
+	for index, w := range r.pending {
+		w.done <- outcome{err: err}
+		delete(r.pending, index)
+	}
+}
+
+func (r *Replica) fail(err error) {
+	level.Error(r.cfg.Logger).Log("msg", "replica stopped", "err", err)
+	r.failAll(mperror.ErrUnknown)
+	r.mu.Lock()
+	r.failure = err
+	r.mu.Unlock()
+}
+
+// compact starts a snapshot when the log file has grown large. Encoding and
+// writing it happen beside the loop; finishCompact then switches the log.
+func (r *Replica) compact() {
+	if r.snapping || r.cfg.Store.Size() < r.cfg.SnapshotAt {
+		return
+	}
+	r.snapping = true
+	snap := r.node.SnapshotAt()
+	encode := r.cfg.Machine.Snapshot()
+	go func() {
+		data, err := encode()
+		if err == nil {
+			snap.Data = data
+			err = r.cfg.Store.WriteSnapshot(snap)
+		}
+		select {
+		case r.snapped <- written{snap, err}:
+		case <-r.stopped:
+		}
+	}()
+}
+
+func (r *Replica) finishCompact(w written) error {
+	r.snapping = false
+	if w.err != nil {
+		return mperror.Wrap(w.err, "write snapshot %d", w.snap.Index)
+	}
+	if w.snap.Index < r.node.Base() {
+		return nil
+	}
+	if err := r.cfg.Store.Switch(w.snap.Index, r.hard, r.node.After(w.snap.Index)); err != nil {
+		return err
+	}
+	keep := w.snap.Index - min(w.snap.Index, keepEntries)
+	r.node.Compact(w.snap, keep)
+	return nil
+}
+
+// enroll moves seat one step towards voting: it joins as a learner, and once
+// it holds the log the older members of its VM are removed before it votes.
+func (r *Replica) enroll(now time.Time, seat mpquorum.Seat) (bool, error) {
+	if !r.node.IsLeader() {
+		return false, mperror.ErrNotLeader
+	}
+	members := r.node.Members()
+	var have mpquorum.Seat
+	var old mpquorum.Member
+	for _, s := range members.Seats {
+		switch {
+		case s.Member == seat.Member:
+			have = s
+		case s.VM == seat.VM:
+			old = s.Member
+		}
+	}
+	switch {
+	case have.Voter && have.Address == seat.Address:
+		return true, nil
+	case have.Member == 0:
+		seat.Voter = false
+		return false, r.reconfigure(now, members.With(seat))
+	case !r.node.CaughtUp(seat.Member, promoteSlack):
+		return false, nil
+	case old != 0:
+		return false, r.reconfigure(now, members.Without(old))
+	}
+	seat.Voter = true
+	return false, r.reconfigure(now, members.With(seat))
+}
+
+func (r *Replica) reconfigure(now time.Time, m mpquorum.Membership) error {
+	err := r.step(now, mpquorum.Reconfigure{Members: m})
+	if errors.Is(err, mperror.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+func (r *Replica) publish() {
+	lead, _ := r.node.Leader()
+	s := Status{
+		Member:  r.cfg.Self,
+		Leader:  lead.VM,
+		Leading: r.node.IsLeader(),
+		Term:    r.node.Term(),
+		Commit:  r.node.Commit(),
+		Last:    r.node.Last(),
+		Members: r.node.Members(),
+	}
+	r.mu.Lock()
+	r.status = s
+	r.leadSeat = lead
+	r.mu.Unlock()
+}
