--- /dev/null
+++ b/core/version/mpstate/machine.go
@@ -0,0 +1,277 @@
+// Package mpstate is the state machine behind the replicated log: the view
+// with its recent changes, the audit trail, and the claims of non-idempotent
+// requests. Apply is deterministic; time enters only as the leader's stamp.
+package mpstate
+
+import (
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mpview"
+)
+
+const (
+	deltaWindow  = 1024
+	auditLimit   = 20_000
+	answersLimit = 5_000
+)
+
+// Record is one line of the audit trail.
+type Record struct {
+	Revision uint64                `json:"revision"`
+	At       int64                 `json:"at"`
+	Who      string                `json:"who"`
+	ID       string                `json:"id"`
+	Change   mpview.Change         `json:"change"`
+	Before   *mpcatalogue.Document `json:"before,omitempty"`
+}
+
+type answered struct {
+	ID     string `json:"id"`
+	Result Result `json:"result"`
+}
+
+// Machine holds the replicated state. Apply and Restore come from one
+// goroutine; the other methods may be called at any time.
+type Machine struct {
+	mu      sync.RWMutex
+	view    *mpview.View
+	deltas  [][]byte
+	first   uint64
+	audit   []Record
+	answers []answered
+	byID    map[string]Result
+	claims  claims
+	clock   int64
+	changed chan struct{}
+}
+
+// New returns the state at revision 0.
+func New() *Machine {
+	return &Machine{
+		view:    mpview.Empty(),
+		first:   1,
+		byID:    map[string]Result{},
+		claims:  newClaims(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Apply executes one encoded command and returns its encoded Result.
+func (m *Machine) Apply(_ uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.apply(command)
+	out, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // Result holds only plain values.
+	}
+	return out
+}
+
+func (m *Machine) apply(command []byte) Result {
+	at, c, err := Decode(command)
+	if err != nil {
+		return Result{Code: CodeInvalid, Text: err.Error()}
+	}
+	m.clock = max(m.clock, at)
+	switch c := c.(type) {
+	case Change:
+		return m.change(c)
+	case Claim:
+		return m.claims.claim(m.clock, c)
+	case Finish:
+		return m.claims.finish(c)
+	case Doubt:
+		return m.claims.doubt(c)
+	case Release:
+		return m.claims.release(c)
+	}
+	return Result{Code: CodeInvalid}
+}
+
+func (m *Machine) change(c Change) Result {
+	if r, ok := m.byID[c.ID]; ok && c.ID != "" {
+		return r
+	}
+	r := m.tryChange(c)
+	m.remember(c.ID, r)
+	return r
+}
+
+func (m *Machine) tryChange(c Change) Result {
+	if err := m.view.Conflict(c.Base, c.Change.Op); err != nil {
+		return Result{Code: CodeConflict, Text: err.Error(), Revision: m.view.Revision()}
+	}
+	next, err := m.view.Apply(c.Change.Op)
+	switch {
+	case errors.Is(err, mperror.ErrNotFound):
+		return Result{Code: CodeNotFound, Text: err.Error()}
+	case err != nil:
+		return Result{Code: CodeInvalid, Text: err.Error()}
+	}
+	rec := Record{Revision: next.Revision(), At: m.clock, Who: c.Who, ID: c.ID, Change: c.Change}
+	rec.Change.Revision = next.Revision()
+	if e, ok := c.Change.Op.(mpview.Edit); ok {
+		before := m.view.Catalogue().Before(e.Edit)
+		rec.Before = &before
+	}
+	delta, err := json.Marshal(rec.Change)
+	if err != nil {
+		return Result{Code: CodeInvalid, Text: err.Error()}
+	}
+	m.settle(c.Change.Op)
+	m.view = next
+	m.audit = bounded(append(m.audit, rec), auditLimit)
+	m.deltas = append(m.deltas, delta)
+	if len(m.deltas) > deltaWindow {
+		m.first += uint64(len(m.deltas) - deltaWindow)
+		m.deltas = bounded(m.deltas, deltaWindow)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return Result{Code: CodeDone, Revision: next.Revision()}
+}
+
+// settle puts in doubt the claims whose holder a change declares dead.
+func (m *Machine) settle(op mpview.Op) {
+	switch op := op.(type) {
+	case mpview.Join:
+		m.claims.abandon(op.VM.Name, op.VM.Boot)
+	case mpview.Leave:
+		for _, vm := range op.VMs {
+			m.claims.abandon(vm, 0)
+		}
+	}
+}
+
+func (m *Machine) remember(id string, r Result) {
+	if id == "" {
+		return
+	}
+	m.byID[id] = r
+	m.answers = append(m.answers, answered{id, r})
+	if len(m.answers) > answersLimit {
+		delete(m.byID, m.answers[0].ID)
+		m.answers = m.answers[1:]
+	}
+}
+
+func bounded[T any](list []T, limit int) []T {
+	if len(list) <= limit {
+		return list
+	}
+	return list[len(list)-limit:]
+}
+
+// View returns the present view.
+func (m *Machine) View() *mpview.View {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// Since returns the encoded changes after revision, or the whole encoded view
+// when they are no longer kept, and the revision that either leads to.
+func (m *Machine) Since(revision uint64) (changes [][]byte, whole []byte, at uint64, err error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	at = m.view.Revision()
+	switch {
+	case revision == at:
+		return nil, nil, at, nil
+	case revision < at && revision+1 >= m.first:
+		return m.deltas[revision+1-m.first:], nil, at, nil
+	}
+	whole, err = json.Marshal(m.view)
+	return nil, whole, at, err
+}
+
+// Audit returns the records after revision, at most limit of the newest.
+func (m *Machine) Audit(after uint64, limit int) []Record {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []Record
+	for _, r := range m.audit {
+		if r.Revision > after {
+			out = append(out, r)
+		}
+	}
+	return bounded(out, limit)
+}
+
+// Claims returns the number of claims kept.
+func (m *Machine) Claims() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.claims.rows)
+}
+
+type wireMachine struct {
+	View    *mpview.View `json:"view"`
+	Deltas  [][]byte     `json:"deltas"`
+	First   uint64       `json:"first"`
+	Audit   []Record     `json:"audit"`
+	Answers []answered   `json:"answers"`
+	Claims  []claim      `json:"claims"`
+	Swept   int64        `json:"swept"`
+	Clock   int64        `json:"clock"`
+}
+
+// Snapshot captures the whole state and returns a function that encodes it.
+func (m *Machine) Snapshot() func() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	w := wireMachine{
+		View:    m.view,
+		Deltas:  m.deltas,
+		First:   m.first,
+		Audit:   m.audit,
+		Answers: m.answers,
+		Claims:  make([]claim, 0, len(m.claims.rows)),
+		Swept:   m.claims.swept,
+		Clock:   m.clock,
+	}
+	for _, c := range m.claims.rows {
+		w.Claims = append(w.Claims, *c)
+	}
+	return func() ([]byte, error) { return json.Marshal(w) }
+}
+
+// Restore replaces the state by the one that Snapshot encoded.
+func (m *Machine) Restore(data []byte) error {
+	var w wireMachine
+	if err := json.Unmarshal(data, &w); err != nil {
+		return mperror.Wrap(mperror.ErrCorrupt, "state: %v", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view = w.View
+	m.deltas = w.Deltas
+	m.first = w.First
+	m.audit = w.Audit
+	m.answers = w.Answers
+	m.byID = make(map[string]Result, len(w.Answers))
+	for _, a := range w.Answers {
+		m.byID[a.ID] = a.Result
+	}
+	m.claims = newClaims()
+	m.claims.swept = w.Swept
+	for i := range w.Claims {
+		m.claims.add(&w.Claims[i])
+	}
+	m.clock = w.Clock
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
--- /dev/null
+++ b/core/version/mpview/view.go
@@ -0,0 +1,297 @@
+// Package mpview holds the state that every VM needs: the catalogue, what is
+// out of service, which VMs are up, who owns which group, and strikes against
+// requests that crash upstreams. A View is immutable; revisions grow by one
+// with each change, and the same Apply runs at the voters and at every VM.
+package mpview
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/version/mpcatalogue"
+)
+
+// StrikesToConvict is the number of upstreams that one request may crash
+// before it is refused for good.
+const StrikesToConvict = 2
+
+// VM is the row of a VM that is up.
+type VM struct {
+	Name string `json:"name"`
+	DC   string `json:"dc"`
+	// Boot differs for each start of the VM's process.
+	Boot uint64 `json:"boot"`
+	// Address is where callers connect; Peer where other VMs do.
+	Address string `json:"address"`
+	Peer    string `json:"peer"`
+	// Leaving VMs own nothing and are not named to callers.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Ownership tells who grants permits for a group, since which epoch.
+type Ownership struct {
+	VM    string `json:"vm"`
+	Epoch uint64 `json:"epoch"`
+	// Fresh tells that the group never had an owner before.
+	Fresh bool `json:"fresh,omitempty"`
+}
+
+// Struck counts the upstreams that crashed under one request.
+type Struck struct {
+	Count int   `json:"count"`
+	Until int64 `json:"until"`
+}
+
+// View is one immutable revision.
+type View struct {
+	revision  uint64
+	catalogue *mpcatalogue.Catalogue
+	out       map[string]uint64
+	touched   map[string]uint64
+	vms       map[string]VM
+	owners    map[string]Ownership
+	strikes   map[uint64]Struck
+}
+
+// Empty returns revision 0.
+func Empty() *View { return &View{catalogue: mpcatalogue.Empty()} }
+
+// Revision returns the number of changes that led to v.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Catalogue returns the catalogue of this revision.
+func (v *View) Catalogue() *mpcatalogue.Catalogue { return v.catalogue }
+
+// IsOut reports whether operators took the target out of service.
+func (v *View) IsOut(t Target, name string) bool {
+	_, ok := v.out[markKey(t, name)]
+	return ok
+}
+
+// OutSince returns the revision of the mark that took the target out.
+func (v *View) OutSince(t Target, name string) uint64 { return v.out[markKey(t, name)] }
+
+// VM returns the row of the VM called name, if it is up.
+func (v *View) VM(name string) (VM, bool) {
+	r, ok := v.vms[name]
+	return r, ok
+}
+
+// VMs returns the VMs that are up, in the order of their names.
+func (v *View) VMs() []VM {
+	names := slices.Sorted(maps.Keys(v.vms))
+	rows := make([]VM, len(names))
+	for i, n := range names {
+		rows[i] = v.vms[n]
+	}
+	return rows
+}
+
+// Owner returns who owns group.
+func (v *View) Owner(group string) (Ownership, bool) {
+	o, ok := v.owners[group]
+	return o, ok
+}
+
+// Owners returns all ownerships by group. The caller must not change it.
+func (v *View) Owners() map[string]Ownership { return v.owners }
+
+// Strikes returns how often print crashed an upstream.
+func (v *View) Strikes(print uint64) int { return v.strikes[print].Count }
+
+// Struck returns all strikes. The caller must not change it.
+func (v *View) Struck() map[uint64]Struck { return v.strikes }
+
+// Serves reports whether callers may be sent to vm.
+func (v *View) Serves(vm VM) bool {
+	return !vm.Leaving && !v.IsOut(TargetVM, vm.Name) && !v.IsOut(TargetDC, vm.DC)
+}
+
+// Usable reports whether new attempts may go to upstream u.
+func (v *View) Usable(u mpcatalogue.Upstream) bool {
+	return !v.IsOut(TargetUpstream, u.Name) && !v.IsOut(TargetDC, u.DC)
+}
+
+// Touched returns the revision that last changed a row, given as kind/name.
+func (v *View) Touched(key string) uint64 { return v.touched[key] }
+
+// Conflict returns ErrConflict when op touches a row that changed after
+// revision base. A base of 0 is not checked.
+func (v *View) Conflict(base uint64, op Op) error {
+	if base == 0 {
+		return nil
+	}
+	for _, key := range keys(op) {
+		if at := v.touched[key]; at > base {
+			return mperror.Wrap(mperror.ErrConflict, "%s changed at revision %d, after %d", key, at, base)
+		}
+	}
+	return nil
+}
+
+func keys(op Op) []string {
+	switch op := op.(type) {
+	case Edit:
+		return op.Edit.Keys()
+	case Mark:
+		return []string{markKey(op.Target, op.Name)}
+	}
+	return nil
+}
+
+func markKey(t Target, name string) string { return "mark/" + string(t) + "/" + name }
+
+// Apply returns the next revision, or an error that wraps ErrInvalid or
+// ErrNotFound and leaves v in force.
+func (v *View) Apply(op Op) (*View, error) {
+	next := *v
+	next.revision++
+	var err error
+	switch op := op.(type) {
+	case Edit:
+		next.catalogue, err = v.catalogue.Apply(op.Edit)
+	case Mark:
+		err = next.mark(op)
+	case Join:
+		next.vms = cloned(v.vms)
+		next.vms[op.VM.Name] = op.VM
+	case Leave:
+		next.leave(op)
+	case Assign:
+		next.assign(op)
+	case Strike:
+		next.strike(op)
+	case Clear:
+		next.strikes = cloned(v.strikes)
+		for _, p := range op.Prints {
+			delete(next.strikes, p)
+		}
+	case Note:
+	default:
+		err = mperror.Wrap(mperror.ErrInvalid, "unknown op %T", op)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if touched := keys(op); len(touched) > 0 {
+		next.touched = cloned(v.touched)
+		for _, key := range touched {
+			next.touched[key] = next.revision
+		}
+	}
+	return &next, nil
+}
+
+func cloned[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(m)
+}
+
+func (v *View) mark(op Mark) error {
+	if err := v.checkTarget(op); err != nil {
+		return err
+	}
+	v.out = cloned(v.out)
+	key := markKey(op.Target, op.Name)
+	if op.Out {
+		v.out[key] = v.revision
+	} else {
+		delete(v.out, key)
+	}
+	return nil
+}
+
+func (v *View) checkTarget(op Mark) error {
+	known := false
+	switch op.Target {
+	case TargetDC:
+		_, known = v.catalogue.DC(op.Name)
+	case TargetUpstream:
+		_, known = v.catalogue.Upstream(op.Name)
+	case TargetVM:
+		_, known = v.vms[op.Name]
+		known = known || !op.Out && v.IsOut(TargetVM, op.Name)
+	default:
+		return mperror.Wrap(mperror.ErrInvalid, "mark of unknown target %q", op.Target)
+	}
+	if !known {
+		return mperror.Wrap(mperror.ErrNotFound, "%s/%s", op.Target, op.Name)
+	}
+	return nil
+}
+
+func (v *View) leave(op Leave) {
+	v.vms = cloned(v.vms)
+	for _, name := range op.VMs {
+		delete(v.vms, name)
+	}
+}
+
+func (v *View) assign(op Assign) {
+	v.owners = cloned(v.owners)
+	for group, vm := range op.Owners {
+		if vm == "" {
+			delete(v.owners, group)
+			continue
+		}
+		_, had := v.owners[group]
+		v.owners[group] = Ownership{VM: vm, Epoch: v.revision, Fresh: !had}
+	}
+}
+
+func (v *View) strike(op Strike) {
+	v.strikes = cloned(v.strikes)
+	for _, p := range op.Prints {
+		s := v.strikes[p]
+		v.strikes[p] = Struck{Count: s.Count + 1, Until: max(s.Until, op.Until)}
+	}
+}
+
+type wireView struct {
+	Revision  uint64               `json:"revision"`
+	Catalogue mpcatalogue.Document `json:"catalogue"`
+	Out       map[string]uint64    `json:"out"`
+	Touched   map[string]uint64    `json:"touched"`
+	VMs       map[string]VM        `json:"vms"`
+	Owners    map[string]Ownership `json:"owners"`
+	Strikes   map[uint64]Struck    `json:"strikes"`
+}
+
+// MarshalJSON encodes the whole view.
+func (v *View) MarshalJSON() ([]byte, error) {
+	return json.Marshal(wireView{
+		Revision:  v.revision,
+		Catalogue: v.catalogue.Document(),
+		Out:       v.out,
+		Touched:   v.touched,
+		VMs:       v.vms,
+		Owners:    v.owners,
+		Strikes:   v.strikes,
+	})
+}
+
+// UnmarshalJSON decodes what MarshalJSON wrote.
+func (v *View) UnmarshalJSON(data []byte) error {
+	var w wireView
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	c, err := mpcatalogue.Empty().Apply(mpcatalogue.Edit{Put: w.Catalogue})
+	if err != nil {
+		return mperror.Wrap(err, "view at revision %d", w.Revision)
+	}
+	*v = View{
+		revision:  w.Revision,
+		catalogue: c,
+		out:       w.Out,
+		touched:   w.Touched,
+		vms:       w.VMs,
+		owners:    w.Owners,
+		strikes:   w.Strikes,
+	}
+	return nil
+}
