--- /dev/null
+++ b/core/connection/mppeer/server.go
@@ -0,0 +1,52 @@
+package mppeer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpwire"
+)
+
+// Server is the gRPC side of a VM's peer address.
+type Server struct {
+	grpc *grpc.Server
+}
+
+// Serve listens at address and serves peer to callers that know secret.
+func Serve(address, secret string, peer mpwire.PeerServer) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, mperror.Wrap(err, "peer address %s", address)
+	}
+	s := &Server{grpc: grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
+		grpc.UnaryInterceptor(authorize(secret)),
+	)}
+	mpwire.RegisterPeerServer(s.grpc, peer)
+	go func() { _ = s.grpc.Serve(l) }()
+	return s, nil
+}
+
+// Stop ends all calls and closes the address.
+func (s *Server) Stop() { s.grpc.Stop() }
+
+func authorize(secret string) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+		md, _ := metadata.FromIncomingContext(ctx)
+		got := md.Get(secretKey)
+		if len(got) != 1 || subtle.ConstantTimeCompare([]byte(got[0]), []byte(secret)) != 1 {
+			return nil, status.Error(codes.Unauthenticated, "wrong secret")
+		}
+		return next(ctx, req)
+	}
+}
--- /dev/null
+++ b/core/connection/mpupstream/stream.go
@@ -0,0 +1,111 @@
+package mpupstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"mustardpost.org/core/common/mperror"
+)
+
+const (
+	maxEvent  = 64 << 10
+	maxText   = 4 << 20
+	doneEvent = "[DONE]"
+)
+
+// Usage is what an engine says an answer cost, in tokens.
+type Usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Cached     int `json:"cached_tokens"`
+	Completion int `json:"completion_tokens"`
+}
+
+type chunk struct {
+	Choices []struct {
+		Text   string  `json:"text"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+// Stream sends a completion call and passes each piece of text to emit as it
+// comes. The stream is whole only when it had a finish reason and the closing
+// event; everything else is a Failure. An error of emit ends the attempt.
+func (c *Client) Stream(ctx context.Context, call Call, emit func(text string) error) (Answer, Usage, *Failure) {
+	resp, sent, fail := c.start(ctx, call)
+	if fail != nil {
+		return Answer{}, Usage{}, fail
+	}
+	defer resp.Body.Close()
+	answer := Answer{
+		Status:   resp.StatusCode,
+		Type:     resp.Header.Get("Content-Type"),
+		Instance: resp.Header.Get(InstanceHeader),
+		Cold:     resp.Header.Get(ColdHeader) == "1",
+	}
+	if resp.StatusCode != 200 {
+		answer.Body, _ = io.ReadAll(io.LimitReader(resp.Body, maxProblem))
+		return answer, Usage{}, nil
+	}
+	usage, err := readEvents(resp.Body, emit)
+	if err == nil {
+		return answer, usage, nil
+	}
+	if errors.Is(err, mperror.ErrAnswer) || errors.Is(err, errEmit) {
+		return answer, usage, &Failure{Sent: true, Err: err}
+	}
+	return answer, usage, failure(ctx, sent.Load(), err)
+}
+
+var errEmit = errors.New("receiver failed")
+
+func readEvents(body io.Reader, emit func(string) error) (Usage, error) {
+	var usage Usage
+	finished := false
+	length := 0
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEvent)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == doneEvent {
+			if !finished {
+				return usage, mperror.Wrap(mperror.ErrAnswer, "stream closed without a finish reason")
+			}
+			return usage, nil
+		}
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			return usage, mperror.Wrap(mperror.ErrAnswer, "event: %v", err)
+		}
+		if c.Usage != nil {
+			usage = *c.Usage
+		}
+		for _, choice := range c.Choices {
+			length += len(choice.Text)
+			if length > maxText {
+				return usage, mperror.Wrap(mperror.ErrAnswer, "longer than %d bytes", maxText)
+			}
+			if choice.Text != "" {
+				if err := emit(choice.Text); err != nil {
+					return usage, errors.Join(errEmit, err)
+				}
+			}
+			finished = finished || choice.Finish != nil
+		}
+	}
+	switch err := lines.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return usage, mperror.Wrap(mperror.ErrAnswer, "event longer than %d bytes", maxEvent)
+	case err != nil:
+		return usage, err
+	}
+	return usage, io.ErrUnexpectedEOF
+}
--- /dev/null
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -0,0 +1,345 @@
+// Package mpdaemon assembles the process of one VM from its parts and runs it
+// until it is told to leave.
+package mpdaemon
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/connection/mpcaller"
+	"mustardpost.org/core/connection/mpmember"
+	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpproposer"
+	"mustardpost.org/core/connection/mpupstream"
+	"mustardpost.org/core/process/mpdisk"
+	"mustardpost.org/core/process/mphttp"
+	"mustardpost.org/core/process/mplead"
+	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/process/mpowner"
+	"mustardpost.org/core/process/mpquorum"
+	"mustardpost.org/core/process/mpreplica"
+	"mustardpost.org/core/process/mpsettings"
+	"mustardpost.org/core/process/mpvoter"
+	"mustardpost.org/core/request/mpadmit"
+	"mustardpost.org/core/request/mpattempt"
+	"mustardpost.org/core/request/mppipeline"
+	"mustardpost.org/core/version/mpstate"
+	"mustardpost.org/core/version/mpview"
+)
+
+const (
+	heartbeatPart = 5
+	retryRatio    = 0.08
+	operatorBody  = 16 << 20
+	noteWithin    = 5 * time.Second
+)
+
+// Config holds what a Daemon needs from outside.
+type Config struct {
+	Settings mpsettings.Settings
+	Logger   log.Logger
+}
+
+// voter is the part of a process that holds replicated state.
+type voter struct {
+	id      mpdisk.Identity
+	replica *mpreplica.Replica
+	machine *mpstate.Machine
+	lead    *mplead.Lead
+	store   *mpdisk.Store
+}
+
+// VoterStatus is a voter's row in the operators' status.
+type VoterStatus struct {
+	VM     string           `json:"vm"`
+	Status mpreplica.Status `json:"status"`
+}
+
+// Daemon is the process of one VM.
+type Daemon struct {
+	cfg      Config
+	boot     uint64
+	metrics  *mpmetric.Set
+	client   *mppeer.Client
+	member   *mpmember.Member
+	owner    *mpowner.Owner
+	broker   *mpattempt.Broker
+	proposer *mpproposer.Proposer
+	caller   *mpcaller.Caller
+	door     *mpadmit.Door
+	callers  *mphttp.Server
+	operator *mphttp.Server
+	peers    *mppeer.Server
+	voter    atomic.Pointer[voter]
+}
+
+// New assembles a process. ctx bounds all work in its background.
+func New(ctx context.Context, cfg Config) *Daemon {
+	s := cfg.Settings
+	d := &Daemon{
+		cfg:     cfg,
+		boot:    rand.Uint64() | 1,
+		metrics: mpmetric.New(),
+		client:  mppeer.NewClient(s.Secret),
+		door:    mpadmit.New(mpadmit.Config{Requests: s.Requests}),
+	}
+	d.member = mpmember.New(mpmember.Config{
+		Self:   mpview.VM{Name: s.VM, DC: s.DC, Boot: d.boot, Address: s.Caller, Peer: s.Peer},
+		Voters: s.VoterPeers(),
+		Client: d.client,
+		Logger: cfg.Logger,
+		OnView: d.onView,
+	})
+	d.owner = mpowner.New(mpowner.Config{
+		VM:       s.VM,
+		Lease:    s.LeaseSpan() + mplead.Margin(s.LeaseSpan()),
+		HasLease: d.member.HasLease,
+		Metrics:  d.metrics,
+		Logger:   cfg.Logger,
+		Strict:   s.Strict,
+	})
+	d.broker = mpattempt.New(ctx, mpattempt.Config{
+		VM: s.VM, Local: d.owner, Client: d.client, Metrics: d.metrics, Clock: time.Now,
+	})
+	d.proposer = mpproposer.New(mpproposer.Config{Client: d.client, Directory: d.member, Voters: s.VoterPeers()})
+	d.assembleServers()
+	d.publish()
+	return d
+}
+
+func (d *Daemon) assembleServers() {
+	s := d.cfg.Settings
+	runner := mppipeline.New(mppipeline.Config{
+		VM:         s.VM,
+		DC:         s.DC,
+		Boot:       d.boot,
+		Permits:    d.broker,
+		Upstreams:  mpupstream.New(),
+		Proposer:   d.proposer,
+		Membership: d.member,
+		Metrics:    d.metrics,
+		Logger:     d.cfg.Logger,
+		Clock:      time.Now,
+		RetryRatio: retryRatio,
+	})
+	d.caller = mpcaller.New(mpcaller.Config{
+		VM:         s.VM,
+		DC:         s.DC,
+		Membership: d.member,
+		Runner:     runner,
+		Door:       d.door,
+		Metrics:    d.metrics,
+		Logger:     d.cfg.Logger,
+		OnOverload: d.noteOverload,
+	})
+	d.callers = mphttp.New(mphttp.Config{
+		Name: "caller", Address: s.Caller, Handler: d.caller.Handler(), MaxBody: s.Body, Logger: d.cfg.Logger,
+	})
+	operator := mpoperator.New(mpoperator.Config{
+		VM:         s.VM,
+		Tokens:     s.Tokens,
+		Voters:     s.VoterPeers(),
+		Membership: d.member,
+		Proposer:   d.proposer,
+		Client:     d.client,
+		Logger:     d.cfg.Logger,
+	})
+	d.operator = mphttp.New(mphttp.Config{
+		Name: "operator", Address: s.Operator, Handler: operator.Handler(), MaxBody: operatorBody, Logger: d.cfg.Logger,
+	})
+}
+
+func (d *Daemon) publish() {
+	d.metrics.Gauge("revision", func() any { return d.member.Current().Revision() })
+	d.metrics.Gauge("lease", func() any { return d.member.HasLease(time.Now()) })
+	d.metrics.Gauge("running", func() any { return d.door.Running() })
+	d.metrics.Gauge("held", func() any { return d.broker.Held() })
+	d.metrics.Gauge("claims", func() any {
+		if v := d.voter.Load(); v != nil {
+			return v.machine.Claims()
+		}
+		return 0
+	})
+	if expvar.Get("mustardpost") == nil {
+		expvar.Publish("mustardpost", d.metrics.Var())
+	}
+}
+
+func (d *Daemon) onView(now time.Time, old, next *mpview.View) {
+	d.owner.OnView(now, old, next)
+	d.broker.OnView(now, old, next)
+	d.caller.OnView(now, old, next)
+}
+
+func (d *Daemon) noteOverload(text string) {
+	level.Warn(d.cfg.Logger).Log("msg", "overload", "text", text)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), noteWithin)
+		defer cancel()
+		op := mpview.Note{Kind: "overload", Text: d.cfg.Settings.VM + ": " + text}
+		_, _ = d.proposer.Propose(ctx, mpstate.Change{ID: mplead.NewID(), Who: "system", Change: mpview.Change{Op: op}}, 0)
+	}()
+}
+
+// Run serves until leave ends, then leaves: it hands over what it owns, serves
+// the requests that still come, and returns when all have ended or ctx does.
+// It returns early with the error of a part that cannot go on.
+func (d *Daemon) Run(ctx, leave context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mphttp.UseLogger(d.cfg.Logger)
+	var err error
+	if d.peers, err = mppeer.Serve(d.cfg.Settings.Peer, d.cfg.Settings.Secret, &peer{d: d}); err != nil {
+		return err
+	}
+	defer d.peers.Stop()
+	if err := d.operator.Start(); err != nil {
+		return err
+	}
+	defer d.operator.Stop()
+	failed := make(chan error, 1)
+	if d.cfg.Settings.IsVoter() {
+		v, err := d.startVoter(ctx, leave, failed)
+		if err != nil {
+			return err
+		}
+		defer v.stop()
+	}
+	go d.owner.Run(ctx)
+	go d.member.Run(ctx)
+	if err := d.callers.Start(); err != nil {
+		return err
+	}
+	defer d.callers.Stop()
+	level.Info(d.cfg.Logger).Log("msg", "serving", "caller", d.cfg.Settings.Caller)
+	select {
+	case <-leave.Done():
+		d.leave(ctx)
+		return nil
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (d *Daemon) startVoter(ctx, leave context.Context, failed chan error) (*voter, error) {
+	s := d.cfg.Settings
+	vcfg := mpvoter.Config{Settings: s, Client: d.client, Logger: d.cfg.Logger}
+	id, err := mpvoter.Open(leave, vcfg)
+	if err != nil {
+		return nil, err
+	}
+	store, loaded, err := mpdisk.Open(s.Data)
+	if err != nil {
+		return nil, err
+	}
+	if loaded.Cut > 0 {
+		level.Warn(d.cfg.Logger).Log("msg", "torn tail of the log cut", "bytes", loaded.Cut)
+	}
+	v := &voter{id: id, machine: mpstate.New(), store: store}
+	var lead atomic.Pointer[mplead.Lead]
+	v.replica, err = mpreplica.New(mpreplica.Config{
+		Self:       id.Member,
+		Address:    s.Peer,
+		Store:      store,
+		Loaded:     loaded,
+		Machine:    v.machine,
+		Sender:     mppeer.NewSender(ctx, d.client),
+		Logger:     d.cfg.Logger,
+		SnapshotAt: int64(s.Segment),
+		Quorum: mpquorum.Config{
+			Election:  s.ElectionSpan(),
+			Heartbeat: s.ElectionSpan() / heartbeatPart,
+			Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Now:       time.Now(),
+		},
+		OnLeading: func(now time.Time, leading bool) {
+			if l := lead.Load(); l != nil {
+				l.SetLeading(now, leading)
+			}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.lead = mplead.New(mplead.Config{
+		Replica: v.replica,
+		Machine: v.machine,
+		Logger:  d.cfg.Logger,
+		Lease:   s.LeaseSpan(),
+		Quorate: len(s.Voters)/2 + 1,
+	})
+	lead.Store(v.lead)
+	go func() {
+		if err := v.replica.Run(); err != nil {
+			failed <- err
+		}
+	}()
+	d.voter.Store(v)
+	go mpvoter.Enroll(ctx, vcfg, id, v.replica)
+	go v.lead.Run(ctx)
+	return v, nil
+}
+
+func (v *voter) stop() {
+	v.replica.Stop()
+	_ = v.store.Close()
+}
+
+const (
+	leaveStep = 20 * time.Millisecond
+	// leaveExtra lets the last answers reach their callers before the process ends.
+	leaveExtra = 300 * time.Millisecond
+	// leaveMost is the longest deadline of any class, in the catalogue's bounds.
+	leaveMost = 10 * time.Minute
+)
+
+// awaitsHeirs reports whether groups are still to pass to another VM.
+func (d *Daemon) awaitsHeirs() bool {
+	view := d.member.Current()
+	for _, vm := range view.VMs() {
+		if vm.Name != d.cfg.Settings.VM && view.Serves(vm) {
+			return len(d.owner.Groups()) > 0
+		}
+	}
+	return false
+}
+
+// leave announces that this VM is leaving, hands over leadership and the
+// groups it owns, and waits until callers with an old address have gone.
+func (d *Daemon) leave(ctx context.Context) {
+	level.Info(d.cfg.Logger).Log("msg", "leaving")
+	started := time.Now()
+	d.member.Leave()
+	d.callers.Leave()
+	if v := d.voter.Load(); v != nil {
+		v.replica.Transfer()
+	}
+	idleSince := started
+	t := time.NewTicker(leaveStep)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		if d.callers.Running() > 0 || d.broker.Held() > 0 || d.awaitsHeirs() {
+			idleSince = now
+		}
+		announced := now.Sub(started) > mpcaller.Keep+d.cfg.Settings.LeaseSpan()
+		if announced && now.Sub(idleSince) > leaveExtra || now.Sub(started) > leaveMost {
+			level.Info(d.cfg.Logger).Log("msg", "left", "took", now.Sub(started))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/process/mpvoter/mpvoter.go
@@ -0,0 +1,165 @@
+// Package mpvoter brings up a voter: it founds a new deployment, resumes from
+// its data folder, or joins as a new member after its disk was lost.
+//
+// Founding is the one step without a quorum. Only the first VM in the settings
+// founds, only when it can reach every other voter, and only when none of them
+// holds a log. It founds a deployment of itself alone; the others join it. So a
+// voter with a lost disk cannot found a second deployment beside the first.
+package mpvoter
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpdisk"
+	"mustardpost.org/core/process/mpquorum"
+	"mustardpost.org/core/process/mpreplica"
+	"mustardpost.org/core/process/mpsettings"
+)
+
+const (
+	probeWithin  = time.Second
+	probeEvery   = 100 * time.Millisecond
+	enrollEvery  = 100 * time.Millisecond
+	enrollWithin = 2 * time.Second
+)
+
+// Config holds what a voter needs to start.
+type Config struct {
+	Settings mpsettings.Settings
+	Client   *mppeer.Client
+	Logger   log.Logger
+}
+
+// Open returns the identity of the data folder. Where it has none, Open first
+// founds the deployment or learns which one to join; that may take until ctx ends.
+func Open(ctx context.Context, cfg Config) (mpdisk.Identity, error) {
+	dir := cfg.Settings.Data
+	id, ok, err := mpdisk.ReadIdentity(dir)
+	if err != nil || ok {
+		return id, err
+	}
+	cluster, err := discover(ctx, cfg)
+	if err != nil {
+		return id, err
+	}
+	id = mpdisk.Identity{Cluster: cluster, Member: mpquorum.Member(rand.Uint64() | 1)}
+	if cluster == 0 {
+		id.Cluster = rand.Uint64() | 1
+		if err := found(dir, id, cfg.Settings); err != nil {
+			return id, err
+		}
+	}
+	_ = level.Info(cfg.Logger).Log("msg", "new member", "cluster", id.Cluster, "member", uint64(id.Member), "founds", cluster == 0)
+	return id, mpdisk.WriteIdentity(dir, id)
+}
+
+func found(dir string, id mpdisk.Identity, s mpsettings.Settings) error {
+	store, _, err := mpdisk.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	seat := mpquorum.Seat{Member: id.Member, VM: s.VM, Address: s.Peer}
+	if err := store.WriteSnapshot(mpquorum.Found(seat, nil)); err != nil {
+		return err
+	}
+	return store.Save(&mpquorum.Hard{Term: 1}, nil)
+}
+
+// discover returns the deployment to join, or 0 to found one.
+func discover(ctx context.Context, cfg Config) (uint64, error) {
+	first := cfg.Settings.Voters[0].VM == cfg.Settings.VM
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		cluster, all := probe(ctx, cfg)
+		if cluster != 0 || all && first {
+			return cluster, nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return 0, mperror.Wrap(ctx.Err(), "look for other voters")
+		}
+	}
+}
+
+// probe asks the other voters for their deployment and reports whether all of
+// them answered.
+func probe(ctx context.Context, cfg Config) (cluster uint64, all bool) {
+	all = true
+	for _, v := range cfg.Settings.Voters {
+		if v.VM == cfg.Settings.VM {
+			continue
+		}
+		reply, err := probeOne(ctx, cfg, v.Peer)
+		if err != nil {
+			all = false
+			continue
+		}
+		if reply.GetFounded() {
+			cluster = reply.GetCluster()
+		}
+	}
+	return cluster, all
+}
+
+func probeOne(ctx context.Context, cfg Config, address string) (*mpwire.ProbeReply, error) {
+	peer, err := cfg.Client.To(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	defer cancel()
+	return peer.Probe(ctx, &mpwire.ProbeRequest{})
+}
+
+// Enroll asks the leader, until it has happened, to let this member vote.
+func Enroll(ctx context.Context, cfg Config, id mpdisk.Identity, replica *mpreplica.Replica) {
+	req := &mpwire.EnrollRequest{
+		Cluster: id.Cluster,
+		Member:  uint64(id.Member),
+		Vm:      cfg.Settings.VM,
+		Address: cfg.Settings.Peer,
+	}
+	seat := mpquorum.Seat{Member: id.Member, VM: req.GetVm(), Address: req.GetAddress()}
+	t := time.NewTicker(enrollEvery)
+	defer t.Stop()
+	for next := 0; ; next++ {
+		done, err := replica.Enroll(seat)
+		if err != nil {
+			done = enrollAt(ctx, cfg, cfg.Settings.Voters[next%len(cfg.Settings.Voters)].Peer, req)
+		}
+		if done {
+			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember())
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func enrollAt(ctx context.Context, cfg Config, address string, req *mpwire.EnrollRequest) bool {
+	if address == cfg.Settings.Peer {
+		return false
+	}
+	peer, err := cfg.Client.To(address)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, enrollWithin)
+	defer cancel()
+	reply, err := peer.Enroll(ctx, req)
+	return err == nil && reply.GetDone()
+}
--- /dev/null
+++ b/core/request/mpattempt/wire.go
@@ -0,0 +1,152 @@
+package mpattempt
+
+import (
+	"time"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpset"
+	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/request/mppermit"
+)
+
+func ms(d time.Duration) uint32 {
+	return uint32(max(d.Milliseconds(), 0))
+}
+
+func fromMS(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// EncodeAsk returns the wire form of an ask.
+func EncodeAsk(group string, epoch uint64, a mppermit.Ask) *mpwire.AcquireRequest {
+	return &mpwire.AcquireRequest{
+		Vm:         a.VM,
+		Group:      group,
+		Epoch:      epoch,
+		Attempt:    uint64(a.Attempt),
+		Account:    a.Account,
+		Weight:     uint32(max(a.Weight, 1)),
+		Priority:   int32(a.Priority),
+		LeftMs:     ms(a.Left),
+		PatienceMs: ms(a.Patience),
+		Prefix:     a.Prefix,
+		Alone:      a.Alone,
+		Hedge:      a.Hedge,
+		Avoid:      a.Avoid.Sorted(),
+	}
+}
+
+// DecodeAsk returns the ask that EncodeAsk encoded.
+func DecodeAsk(r *mpwire.AcquireRequest) mppermit.Ask {
+	return mppermit.Ask{
+		Attempt:  mppermit.Attempt(r.GetAttempt()),
+		VM:       r.GetVm(),
+		Account:  r.GetAccount(),
+		Weight:   int(r.GetWeight()),
+		Priority: int(r.GetPriority()),
+		Left:     fromMS(r.GetLeftMs()),
+		Patience: fromMS(r.GetPatienceMs()),
+		Prefix:   r.GetPrefix(),
+		Alone:    r.GetAlone(),
+		Hedge:    r.GetHedge(),
+		Avoid:    mpset.Of(r.GetAvoid()...),
+	}
+}
+
+// EncodeDecision returns the wire form of a decision.
+func EncodeDecision(d mppermit.Decision) *mpwire.AcquireReply {
+	switch d := d.(type) {
+	case mppermit.Grant:
+		return &mpwire.AcquireReply{Upstream: d.Upstream, HedgeMs: ms(d.Hedge)}
+	case mppermit.Refuse:
+		return &mpwire.AcquireReply{Cause: wireCause(d.Cause), RetryMs: ms(d.Retry)}
+	}
+	return &mpwire.AcquireReply{Cause: mpwire.AcquireReply_NOT_OWNER}
+}
+
+func wireCause(c mppermit.Cause) mpwire.AcquireReply_Cause {
+	switch c {
+	case mppermit.Late:
+		return mpwire.AcquireReply_LATE
+	case mppermit.Empty:
+		return mpwire.AcquireReply_EMPTY
+	case mppermit.Starting:
+		return mpwire.AcquireReply_STARTING
+	case mppermit.Full:
+	}
+	return mpwire.AcquireReply_FULL
+}
+
+func decodeReply(a mppermit.Attempt, r *mpwire.AcquireReply) (mppermit.Decision, error) {
+	refuse := func(c mppermit.Cause) mppermit.Decision {
+		return mppermit.Refuse{Attempt: a, Cause: c, Retry: fromMS(r.GetRetryMs())}
+	}
+	switch r.GetCause() {
+	case mpwire.AcquireReply_GRANTED:
+		return mppermit.Grant{Attempt: a, Upstream: r.GetUpstream(), Hedge: fromMS(r.GetHedgeMs())}, nil
+	case mpwire.AcquireReply_LATE:
+		return refuse(mppermit.Late), nil
+	case mpwire.AcquireReply_EMPTY:
+		return refuse(mppermit.Empty), nil
+	case mpwire.AcquireReply_STARTING:
+		return refuse(mppermit.Starting), nil
+	case mpwire.AcquireReply_FULL:
+		return refuse(mppermit.Full), nil
+	case mpwire.AcquireReply_NOT_OWNER:
+	}
+	return nil, mperror.ErrNotOwner
+}
+
+func encodeSettle(vm string, batch []settlement) *mpwire.SettleRequest {
+	r := &mpwire.SettleRequest{Vm: vm}
+	for _, s := range batch {
+		r.Settlements = append(r.Settlements, &mpwire.Settlement{
+			Group:    s.group,
+			Attempt:  uint64(s.end.Attempt),
+			End:      mpwire.Settlement_End(s.end.End),
+			TookMs:   ms(s.end.Took),
+			Instance: s.end.Instance,
+			Cold:     s.end.Cold,
+		})
+	}
+	return r
+}
+
+// DecodeSettlement returns one element of a SettleRequest.
+func DecodeSettlement(s *mpwire.Settlement) mppermit.Settlement {
+	return mppermit.Settlement{
+		Attempt:  mppermit.Attempt(s.GetAttempt()),
+		End:      mppermit.End(s.GetEnd()),
+		Took:     fromMS(s.GetTookMs()),
+		Instance: s.GetInstance(),
+		Cold:     s.GetCold(),
+	}
+}
+
+func encodeRegister(vm string, revision uint64, groups []string, held map[string][]mppermit.Held) *mpwire.RegisterRequest {
+	r := &mpwire.RegisterRequest{Vm: vm, Revision: revision, Groups: groups}
+	for group, list := range held {
+		for _, h := range list {
+			r.Held = append(r.Held, &mpwire.Held{
+				Group:    group,
+				Attempt:  uint64(h.Attempt),
+				Upstream: h.Upstream,
+				LeftMs:   ms(h.Left),
+				Alone:    h.Alone,
+			})
+		}
+	}
+	return r
+}
+
+// DecodeHeld returns the permits of a RegisterRequest by group.
+func DecodeHeld(r *mpwire.RegisterRequest) map[string][]mppermit.Held {
+	held := map[string][]mppermit.Held{}
+	for _, h := range r.GetHeld() {
+		held[h.GetGroup()] = append(held[h.GetGroup()], mppermit.Held{
+			Attempt:  mppermit.Attempt(h.GetAttempt()),
+			Upstream: h.GetUpstream(),
+			Left:     fromMS(h.GetLeftMs()),
+			Alone:    h.GetAlone(),
+		})
+	}
+	return held
+}
--- /dev/null
+++ b/core/request/mppermit/group.go
@@ -0,0 +1,548 @@
+package mppermit
+
+import (
+	"slices"
+	"time"
+
+	"mustardpost.org/core/common/mpset"
+	"mustardpost.org/core/version/mpcatalogue"
+)
+
+const (
+	queueFactor  = 8
+	queueFloor   = 16
+	loadBound    = 1.25
+	slack        = 500 * time.Millisecond
+	shortRetry   = 100 * time.Millisecond
+	samples      = 128
+	resortEvery  = 16
+	hedgeAt      = 0.95
+	hedgeMinimum = 16
+	alonePart    = 2
+)
+
+// Config describes a group as one view does.
+type Config struct {
+	Epoch uint64
+	Specs []Spec
+	// VMs are the VMs that are up and must register after a change of owner.
+	VMs []string
+	// Grace is how long after a change of owner a VM may still use permits of
+	// the former owner without having registered.
+	Grace time.Duration
+	// Fresh tells that no permit can be out, as the group is new.
+	Fresh bool
+}
+
+// Counts describes a group for operators.
+type Counts struct {
+	Waiting  int `json:"waiting"`
+	Held     int `json:"held"`
+	Limit    int `json:"limit"`
+	Capacity int `json:"capacity"`
+}
+
+// Group grants the permits of one group at its owner.
+type Group struct {
+	epoch   uint64
+	slots   map[string]*slot
+	names   []string
+	where   map[Attempt]string
+	queue   fair
+	missing mpset.Set[string]
+	opensAt time.Time
+	took    durations
+	breach  string
+}
+
+// NewGroup returns a group that grants nothing until every VM has registered
+// or the grace has passed.
+func NewGroup(now time.Time, cfg Config) *Group {
+	g := &Group{
+		epoch: cfg.Epoch,
+		slots: map[string]*slot{},
+		where: map[Attempt]string{},
+		queue: newFair(),
+	}
+	if !cfg.Fresh {
+		g.missing = mpset.Of(cfg.VMs...)
+		g.opensAt = now.Add(cfg.Grace)
+	}
+	g.Configure(now, cfg)
+	return g
+}
+
+// Epoch returns the epoch for which the group grants.
+func (g *Group) Epoch() uint64 { return g.epoch }
+
+// Configure takes over a new view of the same epoch.
+func (g *Group) Configure(now time.Time, cfg Config) []Decision {
+	seen := mpset.Set[string]{}
+	for _, spec := range cfg.Specs {
+		seen.Add(spec.Name)
+		if s, ok := g.slots[spec.Name]; ok {
+			s.spec = spec
+			s.limit = min(s.limit, spec.Limit)
+			continue
+		}
+		g.slots[spec.Name] = newSlot(spec)
+	}
+	for name, s := range g.slots {
+		if !seen.Has(name) {
+			s.spec.Usable = false
+		}
+		if !seen.Has(name) && len(s.held) == 0 {
+			delete(g.slots, name)
+		}
+	}
+	g.names = seen.Sorted()
+	up := mpset.Of(cfg.VMs...)
+	for vm := range g.missing {
+		if !up.Has(vm) {
+			delete(g.missing, vm)
+		}
+	}
+	return g.serve(now)
+}
+
+// Register notes that vm uses no permits but the held ones.
+func (g *Group) Register(now time.Time, vm string, held []Held) []Decision {
+	for _, h := range held {
+		s, ok := g.slots[h.Upstream]
+		if !ok {
+			s = newSlot(Spec{Name: h.Upstream, Limit: 1, Cold: 1, Ramp: 1})
+			g.slots[h.Upstream] = s
+		}
+		g.hold(s, h.Attempt, hold{vm: vm, until: now.Add(h.Left + slack), alone: h.Alone})
+	}
+	delete(g.missing, vm)
+	return g.serve(now)
+}
+
+// Restarted frees the permits of a VM whose process is known to have ended.
+func (g *Group) Restarted(now time.Time, vm string) []Decision {
+	for _, s := range g.slots {
+		for a, h := range s.held {
+			if h.vm == vm {
+				s.drop(a)
+				delete(g.where, a)
+			}
+		}
+	}
+	g.queue.remove(func(w waiter) bool { return w.ask.VM == vm })
+	return g.serve(now)
+}
+
+// Ask requests a permit. The answer comes now or from a later call.
+func (g *Group) Ask(now time.Time, a Ask) []Decision {
+	if g.isStarting(now) {
+		return []Decision{Refuse{a.Attempt, Starting, g.untilOpen(now)}}
+	}
+	if !g.inService(now, a) {
+		return []Decision{Refuse{a.Attempt, Empty, g.untilService(now)}}
+	}
+	if g.queue.waiting(a.Account) == 0 {
+		if s := g.choose(now, a); s != nil && g.isTurn(a) {
+			g.queue.charge(g.queue.flow(a.Account, a.Weight))
+			return []Decision{g.grant(now, s, a)}
+		}
+	}
+	if a.Hedge {
+		return []Decision{Refuse{a.Attempt, Full, 0}}
+	}
+	return g.enqueue(now, a)
+}
+
+// isTurn reports whether nobody waits who could use the free place instead.
+func (g *Group) isTurn(a Ask) bool {
+	return a.Alone || g.queue.size == g.aloneWaiting()
+}
+
+func (g *Group) enqueue(now time.Time, a Ask) []Decision {
+	wait := g.expectedWait(now, a)
+	service := g.took.median()
+	if wait+service > a.Left {
+		return []Decision{Refuse{a.Attempt, Late, wait}}
+	}
+	if wait > a.Patience {
+		return []Decision{Refuse{a.Attempt, Full, wait}}
+	}
+	var out []Decision
+	if g.queue.size >= max(queueFactor*g.capacity(now), queueFloor) {
+		w, ok := g.queue.evict(a.Account, a.Weight)
+		if !ok {
+			return []Decision{Refuse{a.Attempt, Full, wait}}
+		}
+		out = append(out, Refuse{w.ask.Attempt, Full, wait})
+	}
+	g.queue.push(waiter{ask: a, since: now, latest: now.Add(a.Left - service)})
+	return append(out, g.serve(now)...)
+}
+
+// expectedWait estimates how long a would wait: its account's queue, served at
+// the account's share of the group's rate.
+func (g *Group) expectedWait(now time.Time, a Ask) time.Duration {
+	capacity := g.capacity(now)
+	service := g.took.mean()
+	if capacity == 0 || service == 0 {
+		return 0
+	}
+	rate := float64(capacity) / service.Seconds() * g.queue.share(a.Account, a.Weight)
+	ahead := float64(g.queue.waiting(a.Account) + 1)
+	return time.Duration(ahead / rate * float64(time.Second))
+}
+
+// Settle ends an attempt and grants what that makes room for.
+func (g *Group) Settle(now time.Time, e Settlement) []Decision {
+	name, ok := g.where[e.Attempt]
+	if !ok {
+		g.queue.remove(func(w waiter) bool { return w.ask.Attempt == e.Attempt })
+		return nil
+	}
+	delete(g.where, e.Attempt)
+	s := g.slots[name]
+	h := s.held[e.Attempt]
+	s.drop(e.Attempt)
+	s.settle(now, e, h)
+	if e.End == Done && e.Took > 0 {
+		g.took.add(e.Took)
+	}
+	return g.serve(now)
+}
+
+// Report takes in an upstream's load report.
+func (g *Group) Report(now time.Time, upstream string, r Report) []Decision {
+	if s, ok := g.slots[upstream]; ok {
+		s.report(r)
+	}
+	return g.serve(now)
+}
+
+// Tick refuses what waited too long and drops permits that have lapsed.
+func (g *Group) Tick(now time.Time) []Decision {
+	for _, s := range g.slots {
+		s.expire(now)
+	}
+	for a, name := range g.where {
+		if s, ok := g.slots[name]; !ok || !s.has(a) {
+			delete(g.where, a)
+		}
+	}
+	var out []Decision
+	for _, w := range g.queue.remove(func(w waiter) bool { return now.After(w.latest) }) {
+		out = append(out, Refuse{w.ask.Attempt, Late, g.took.median()})
+	}
+	g.queue.tidy()
+	return append(out, g.serve(now)...)
+}
+
+// Close refuses everything that waits; the group has another owner.
+func (g *Group) Close() []Decision {
+	var out []Decision
+	for _, w := range g.queue.remove(func(waiter) bool { return true }) {
+		out = append(out, Refuse{w.ask.Attempt, Starting, shortRetry})
+	}
+	return out
+}
+
+// Counts returns the group's present numbers.
+func (g *Group) Counts(now time.Time) Counts {
+	c := Counts{Waiting: g.queue.size, Capacity: g.capacity(now)}
+	for _, s := range g.slots {
+		c.Held += len(s.held)
+		c.Limit += s.spec.Limit
+	}
+	return c
+}
+
+// State describes one upstream for operators.
+type State struct {
+	Name   string `json:"name"`
+	Held   int    `json:"held"`
+	Limit  int    `json:"limit"`
+	Warm   bool   `json:"warm"`
+	Usable bool   `json:"usable"`
+	Open   bool   `json:"open"`
+}
+
+// States returns the upstreams in the order of their names.
+func (g *Group) States(now time.Time) []State {
+	var out []State
+	for _, name := range g.names {
+		s := g.slots[name]
+		out = append(out, State{
+			Name:   name,
+			Held:   len(s.held),
+			Limit:  s.limit,
+			Warm:   s.isWarm(),
+			Usable: s.spec.Usable,
+			Open:   now.Before(s.until),
+		})
+	}
+	return out
+}
+
+// Check returns the name of an upstream that was granted an attempt beyond
+// what it bore at that moment, or "".
+func (g *Group) Check() string { return g.breach }
+
+func (s *slot) has(a Attempt) bool {
+	_, ok := s.held[a]
+	return ok
+}
+
+func (g *Group) hold(s *slot, a Attempt, h hold) {
+	s.held[a] = h
+	s.alone = s.alone || h.alone
+	g.where[a] = s.spec.Name
+}
+
+func (g *Group) grant(now time.Time, s *slot, a Ask) Decision {
+	h := hold{vm: a.VM, until: now.Add(a.Left + slack), alone: a.Alone, cold: !s.isWarm()}
+	if len(s.held) >= s.capacity() || a.Alone && len(s.held) > 0 {
+		g.breach = s.spec.Name
+	}
+	g.hold(s, a.Attempt, h)
+	return Grant{Attempt: a.Attempt, Upstream: s.spec.Name, Hedge: g.took.hedge()}
+}
+
+// serve grants to waiting asks as long as any of them finds room.
+func (g *Group) serve(now time.Time) []Decision {
+	if g.isStarting(now) {
+		return nil
+	}
+	var out []Decision
+	for g.queue.size > 0 {
+		d, ok := g.serveOne(now)
+		if !ok {
+			break
+		}
+		out = append(out, d)
+	}
+	g.reserve(now)
+	return out
+}
+
+func (g *Group) serveOne(now time.Time) (Decision, bool) {
+	for _, fl := range g.queue.order() {
+		for i, w := range fl.queue {
+			s := g.choose(now, w.ask)
+			if s == nil {
+				if w.ask.Alone || len(w.ask.Avoid) > 0 {
+					continue
+				}
+				break
+			}
+			g.queue.take(fl, i)
+			a := w.ask
+			a.Left -= now.Sub(w.since)
+			return g.grant(now, s, a), true
+		}
+	}
+	return nil, false
+}
+
+// choose returns the upstream that a should go to now, or nil. An ask with a
+// prefix follows rendezvous hashing with bounded load (Mirrokni, Thorup and
+// Zadimoghaddam, 2018); others go to the least loaded upstream.
+func (g *Group) choose(now time.Time, a Ask) *slot {
+	if a.Alone {
+		return g.chooseAlone(now, a)
+	}
+	if a.Prefix != 0 {
+		bound := g.bound(now)
+		for _, name := range mpcatalogue.Rank(a.Prefix, g.names) {
+			s := g.slots[name]
+			if s.isOpen(now) && !a.Avoid.Has(name) && float64(len(s.held)) < bound*float64(s.limit) {
+				return s
+			}
+		}
+	}
+	var best *slot
+	for _, name := range g.names {
+		s := g.slots[name]
+		if !s.isOpen(now) || a.Avoid.Has(name) {
+			continue
+		}
+		if best == nil || s.load() < best.load() {
+			best = s
+		}
+	}
+	return best
+}
+
+func (s *slot) load() float64 {
+	return float64(len(s.held)) / float64(s.limit)
+}
+
+// chooseAlone returns an idle upstream that is reserved, or that may be used
+// alone while most of the group is left to the others.
+func (g *Group) chooseAlone(now time.Time, a Ask) *slot {
+	isolated := 0
+	var idle *slot
+	for _, name := range g.names {
+		s := g.slots[name]
+		if s.alone || s.reserved {
+			isolated++
+		}
+		if len(s.held) > 0 || a.Avoid.Has(name) || !s.mayServe(now) {
+			continue
+		}
+		if idle == nil || s.reserved {
+			idle = s
+		}
+	}
+	if idle != nil && !idle.reserved && isolated >= g.maxIsolated() {
+		return nil
+	}
+	return idle
+}
+
+func (g *Group) maxIsolated() int { return max(len(g.names)/alonePart, 1) }
+
+// reserve keeps new attempts off as many upstreams as asks wait to run alone,
+// so that these become idle however busy the group is.
+func (g *Group) reserve(now time.Time) {
+	waiting, isolated := g.aloneWaiting(), 0
+	for _, s := range g.slots {
+		s.reserved = false
+		if s.alone {
+			isolated++
+		}
+	}
+	for ; waiting > 0 && isolated < g.maxIsolated(); isolated++ {
+		s := g.leastHeld(now)
+		if s == nil {
+			return
+		}
+		s.reserved = true
+		waiting--
+	}
+}
+
+func (g *Group) aloneWaiting() int {
+	count := 0
+	for _, fl := range g.queue.flows {
+		for _, w := range fl.queue {
+			if w.ask.Alone {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (g *Group) leastHeld(now time.Time) *slot {
+	var best *slot
+	for _, name := range g.names {
+		s := g.slots[name]
+		if !s.mayServe(now) || s.reserved {
+			continue
+		}
+		if best == nil || len(s.held) < len(best.held) {
+			best = s
+		}
+	}
+	return best
+}
+
+// bound returns the load, as a part of the limit, above which an upstream gets
+// no more attempts for their prefix alone.
+func (g *Group) bound(now time.Time) float64 {
+	held, capacity := 1, 0
+	for _, name := range g.names {
+		held += len(g.slots[name].held)
+	}
+	capacity = g.capacity(now)
+	if capacity == 0 {
+		return 1
+	}
+	return loadBound * float64(held) / float64(capacity)
+}
+
+func (g *Group) capacity(now time.Time) int {
+	total := 0
+	for _, name := range g.names {
+		if s := g.slots[name]; s.inService(now) {
+			total += s.capacity()
+		}
+	}
+	return total
+}
+
+func (g *Group) inService(now time.Time, a Ask) bool {
+	for _, name := range g.names {
+		if s := g.slots[name]; s.inService(now) && !a.Avoid.Has(name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) untilService(now time.Time) time.Duration {
+	retry := time.Duration(0)
+	for _, name := range g.names {
+		s := g.slots[name]
+		if s.spec.Usable && (retry == 0 || s.until.Sub(now) < retry) {
+			retry = s.until.Sub(now)
+		}
+	}
+	return max(retry, 0)
+}
+
+func (g *Group) isStarting(now time.Time) bool {
+	return len(g.missing) > 0 && now.Before(g.opensAt)
+}
+
+func (g *Group) untilOpen(now time.Time) time.Duration {
+	return min(g.opensAt.Sub(now), shortRetry)
+}
+
+// durations keeps the last service times of a group.
+type durations struct {
+	ring   []time.Duration
+	at     int
+	stale  int
+	sorted []time.Duration
+	sum    time.Duration
+}
+
+func (d *durations) add(took time.Duration) {
+	if len(d.ring) < samples {
+		d.ring = append(d.ring, took)
+	} else {
+		d.sum -= d.ring[d.at]
+		d.ring[d.at] = took
+		d.at = (d.at + 1) % samples
+	}
+	d.sum += took
+	d.stale++
+	if d.stale >= resortEvery || len(d.sorted) < resortEvery {
+		d.stale = 0
+		d.sorted = slices.Sorted(slices.Values(d.ring))
+	}
+}
+
+func (d *durations) mean() time.Duration {
+	if len(d.ring) == 0 {
+		return 0
+	}
+	return d.sum / time.Duration(len(d.ring))
+}
+
+func (d *durations) quantile(q float64) time.Duration {
+	if len(d.sorted) == 0 {
+		return 0
+	}
+	return d.sorted[int(q*float64(len(d.sorted)-1))]
+}
+
+func (d *durations) median() time.Duration { return d.quantile(0.5) }
+
+// hedge returns the time after which few attempts still succeed on their own.
+func (d *durations) hedge() time.Duration {
+	if len(d.ring) < hedgeMinimum {
+		return 0
+	}
+	return d.quantile(hedgeAt)
+}
--- /dev/null
+++ b/core/request/mppermit/slot.go
@@ -0,0 +1,178 @@
+package mppermit
+
+import "time"
+
+const (
+	breakerFailures = 3
+	breakerFirst    = 250 * time.Millisecond
+	breakerLongest  = 10 * time.Second
+	slowFactor      = 4
+	slowStreak      = 3
+	tookWeight      = 0.1
+)
+
+// slot is what the owner knows of one upstream.
+type slot struct {
+	spec     Spec
+	limit    int
+	wins     int
+	failures int
+	opens    int
+	until    time.Time
+	probing  bool
+	instance string
+	held     map[Attempt]hold
+	alone    bool
+	reserved bool
+	took     time.Duration
+	slow     int
+}
+
+type hold struct {
+	vm    string
+	until time.Time
+	alone bool
+	cold  bool
+}
+
+func newSlot(s Spec) *slot {
+	return &slot{spec: s, limit: s.Cold, held: map[Attempt]hold{}}
+}
+
+// isOpen reports whether a permit may be granted at now beside those held.
+func (s *slot) isOpen(now time.Time) bool {
+	return s.mayServe(now) && !s.reserved && len(s.held) < s.capacity()
+}
+
+// mayServe reports whether the upstream gets work at now and shares it.
+func (s *slot) mayServe(now time.Time) bool {
+	return s.inService(now) && !s.alone
+}
+
+// capacity returns how many attempts the upstream may have now.
+func (s *slot) capacity() int {
+	if s.probing {
+		return 1
+	}
+	return s.limit
+}
+
+// inService reports whether the upstream may get work at all, now or soon.
+func (s *slot) inService(now time.Time) bool {
+	return s.spec.Usable && !now.Before(s.until)
+}
+
+func (s *slot) isWarm() bool { return s.limit >= s.spec.Limit }
+
+func (s *slot) turnCold() {
+	s.limit = s.spec.Cold
+	s.wins = 0
+	s.slow = 0
+	s.took = 0
+}
+
+// open stops new permits for a time that doubles with each failure in a row.
+func (s *slot) open(now time.Time) {
+	wait := min(breakerFirst<<min(s.opens, 10), breakerLongest)
+	s.opens++
+	s.until = now.Add(wait)
+	s.probing = true
+	s.turnCold()
+}
+
+func (s *slot) settle(now time.Time, e Settlement, h hold) {
+	if e.Instance != "" && s.instance != "" && e.Instance != s.instance {
+		s.turnCold()
+	}
+	if e.Instance != "" {
+		s.instance = e.Instance
+	}
+	switch e.End {
+	case Done:
+		s.succeed(e)
+	case Failed:
+		s.failures++
+		if s.failures >= breakerFailures || s.probing {
+			s.open(now)
+		}
+	case Crashed:
+		s.open(now)
+	case Overloaded:
+		s.turnCold()
+		s.until = now.Add(breakerFirst)
+	case Unused, Cancelled:
+	}
+	if e.Cold && !h.cold {
+		s.turnCold()
+	}
+}
+
+// succeed lets the limit rise. Only successes raise it, never time alone, and
+// not while the upstream says that it is cold.
+func (s *slot) succeed(e Settlement) {
+	s.failures = 0
+	s.opens = 0
+	s.probing = false
+	if s.noteTook(e.Took) {
+		s.turnCold()
+		return
+	}
+	if e.Cold || s.isWarm() {
+		return
+	}
+	s.wins++
+	if s.wins >= s.spec.Ramp {
+		s.wins = 0
+		s.limit++
+	}
+}
+
+// noteTook follows the upstream's latency and reports whether it has left its
+// band for several answers in a row.
+func (s *slot) noteTook(took time.Duration) bool {
+	if took <= 0 {
+		return false
+	}
+	if s.took == 0 {
+		s.took = took
+		return false
+	}
+	if s.isWarm() && took > slowFactor*s.took {
+		s.slow++
+		return s.slow >= slowStreak
+	}
+	s.slow = 0
+	s.took += time.Duration(tookWeight * float64(took-s.took))
+	return false
+}
+
+func (s *slot) report(r Report) {
+	if r.Cold && s.limit > s.spec.Cold && s.isWarm() {
+		s.turnCold()
+	}
+	if r.Instance != "" && s.instance != "" && r.Instance != s.instance {
+		s.turnCold()
+	}
+	if r.Instance != "" {
+		s.instance = r.Instance
+	}
+	if r.Waiting > 0 && s.limit > s.spec.Cold {
+		s.limit--
+	}
+}
+
+// expire drops permits whose attempts must have ended with their deadlines.
+func (s *slot) expire(now time.Time) {
+	for a, h := range s.held {
+		if now.After(h.until) {
+			s.drop(a)
+		}
+	}
+}
+
+func (s *slot) drop(a Attempt) {
+	if s.held[a].alone {
+		s.alone = false
+	}
+	delete(s.held, a)
+}
--- /dev/null
+++ b/core/request/mppermit/types.go
@@ -0,0 +1,130 @@
+// Package mppermit decides who may send an attempt to which upstream. A group,
+// the part of a pool in one data centre, has one owner VM at a time; the owner
+// alone grants permits, so it knows exactly how many attempts each upstream
+// has, and queues what must wait fairly between accounts.
+//
+// A Group is a pure state machine: its methods take the present time and
+// return decisions. It is not safe for concurrent use.
+package mppermit
+
+import (
+	"time"
+
+	"mustardpost.org/core/common/mpset"
+)
+
+// Attempt identifies one try of one stage; its VM chooses it at random.
+type Attempt uint64
+
+// Ask is a request for a permit.
+type Ask struct {
+	Attempt Attempt
+	VM      string
+	Account string
+	// Weight is the account's share against others.
+	Weight int
+	// Priority orders the asks of one account; higher goes first.
+	Priority int
+	// Left is what remains of the request's deadline.
+	Left time.Duration
+	// Patience bounds the expected wait; 0 asks for an immediate answer.
+	Patience time.Duration
+	// Prefix attracts asks of the same prefix to the same upstream; 0 does not.
+	Prefix uint64
+	// Alone asks for an upstream that runs nothing else meanwhile.
+	Alone bool
+	// Hedge marks a second attempt, which is never queued.
+	Hedge bool
+	// Avoid names upstreams that this request has tried already.
+	Avoid mpset.Set[string]
+}
+
+// Cause tells why an ask was refused.
+type Cause uint8
+
+const (
+	// Full means that the queue is full or the expected wait too long.
+	Full Cause = iota + 1
+	// Late means that the deadline cannot be met.
+	Late
+	// Empty means that no upstream of the group is in service.
+	Empty
+	// Starting means that the owner does not know yet which permits are out.
+	Starting
+)
+
+// Decision is the final answer to an Ask.
+type Decision interface{ decision() }
+
+// Grant gives a permit.
+type Grant struct {
+	Attempt  Attempt
+	Upstream string
+	// Hedge is when a second attempt is worth its cost; 0 for never.
+	Hedge time.Duration
+}
+
+// Refuse denies a permit.
+type Refuse struct {
+	Attempt Attempt
+	Cause   Cause
+	// Retry is when asking again may help.
+	Retry time.Duration
+}
+
+func (Grant) decision()  {}
+func (Refuse) decision() {}
+
+// End tells how an attempt ended.
+type End uint8
+
+const (
+	// Done is a whole answer.
+	Done End = iota
+	// Unused means that nothing was sent.
+	Unused
+	// Failed is an error answer or a broken one.
+	Failed
+	// Crashed is a connection lost while the upstream ran the attempt.
+	Crashed
+	// Cancelled means that the VM gave the attempt up.
+	Cancelled
+	// Overloaded means that the upstream itself refused the attempt.
+	Overloaded
+)
+
+// Settlement reports the end of an attempt.
+type Settlement struct {
+	Attempt Attempt
+	End     End
+	Took    time.Duration
+	// Instance is the upstream's own id of its process, if it gives one.
+	Instance string
+	// Cold tells that the upstream said that it is in cold start.
+	Cold bool
+}
+
+// Held is a permit that a VM tells a new owner about.
+type Held struct {
+	Attempt  Attempt
+	Upstream string
+	Left     time.Duration
+	Alone    bool
+}
+
+// Spec is an upstream as the view describes it.
+type Spec struct {
+	Name  string
+	Limit int
+	Cold  int
+	Ramp  int
+	// Usable is false while the upstream or its data centre is out.
+	Usable bool
+}
+
+// Report is an upstream's own load report. It lags, so it only lowers limits.
+type Report struct {
+	Instance string
+	Waiting  int
+	Cold     bool
+}
