--- /dev/null
+++ b/mustardfake/commands/sample.go
@@ -0,0 +1,35 @@
+package commands
+
+import (
+	"fmt"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/mustardfake/internal/mpsample"
+)
+
+const firstPort = 21000
+
+func sample() *cli.Command {
+	return &cli.Command{
+		Name:  "sample",
+		Usage: "write a sample deployment into a folder: settings, catalogue, fakes and load",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "dir", Required: true, Usage: "`FOLDER` to write"},
+			&cli.StringFlag{Name: "name", Value: "demo", Usage: fmt.Sprintf("one of %v", mpsample.Names())},
+			&cli.IntFlag{Name: "port", Value: firstPort, Usage: "first `PORT`"},
+			&cli.BoolFlag{Name: "baseline", Usage: "select the baseline policies"},
+		},
+		Action: func(c *cli.Context) error {
+			l, err := mpsample.Write(c.String("dir"), c.String("name"), mpsample.Options{
+				Port: c.Int("port"), Strict: true, Baseline: c.Bool("baseline"),
+			})
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.App.Writer, "operator %s token %s control %s vms %d\n",
+				l.VMs[0].Operator, mpsample.Token, l.Control, len(l.VMs))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/mustardfake/commands/upstreams.go
@@ -0,0 +1,38 @@
+package commands
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/mustardfake/internal/mpfake"
+)
+
+func upstreams() *cli.Command {
+	return &cli.Command{
+		Name:  "upstreams",
+		Usage: "run the fake upstreams that FILE lists",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Required: true, Usage: "JSON `FILE` with a list of fakes"},
+			&cli.StringFlag{Name: "control", Required: true, Usage: "`ADDRESS` for the ledger and for faults"},
+		},
+		Action: func(c *cli.Context) error {
+			data, err := os.ReadFile(c.String("file"))
+			if err != nil {
+				return mperror.Wrap(mperror.ErrInvalid, "%v", err)
+			}
+			var configs []mpfake.Config
+			if err := json.Unmarshal(data, &configs); err != nil {
+				return mperror.Wrap(mperror.ErrInvalid, "%s: %v", c.String("file"), err)
+			}
+			farm := mpfake.NewFarm(configs)
+			if err := farm.Start(); err != nil {
+				return err
+			}
+			return http.ListenAndServe(c.String("control"), farm.Handler())
+		},
+	}
+}
--- /dev/null
+++ b/mustardfake/internal/mpfake/ledger.go
@@ -0,0 +1,66 @@
+package mpfake
+
+import (
+	"regexp"
+	"sync"
+)
+
+var tagPattern = regexp.MustCompile(`#[0-9a-f]{16}`)
+
+// tagOf returns the caller's tag in a body, or "".
+func tagOf(body []byte) string { return string(tagPattern.Find(body)) }
+
+// Ledger counts what fakes ran, by the tags that callers put into requests.
+type Ledger struct {
+	mu      sync.Mutex
+	runs    map[string]int
+	overrun int
+	crashes map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{runs: map[string]int{}, crashes: map[string]int{}}
+}
+
+// Report is a copy of a ledger.
+type Report struct {
+	// Runs counts executions by kind and tag, joined by a slash.
+	Runs map[string]int `json:"runs"`
+	// Overrun counts the times that a cold upstream got more than it bears.
+	Overrun int `json:"overrun"`
+	// Crashes counts crashes by upstream.
+	Crashes map[string]int `json:"crashes"`
+}
+
+func (l *Ledger) ran(kind, tag string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[kind+"/"+tag]++
+}
+
+func (l *Ledger) overran() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.overrun++
+}
+
+func (l *Ledger) crashed(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes[name]++
+}
+
+// Report returns a copy.
+func (l *Ledger) Report() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := Report{Runs: map[string]int{}, Overrun: l.overrun, Crashes: map[string]int{}}
+	for k, n := range l.runs {
+		r.Runs[k] = n
+	}
+	for k, n := range l.crashes {
+		r.Crashes[k] = n
+	}
+	return r
+}
--- /dev/null
+++ b/mustardfake/internal/mpload/send.go
@@ -0,0 +1,157 @@
+package mpload
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardpost.org/core/connection/mpcaller"
+	"mustardpost.org/core/request/mppipeline"
+)
+
+// lost is the outcome of a submission without any answer.
+const lost mppipeline.Kind = "lost"
+
+// answer is what one submission came to.
+type answer struct {
+	kind  mppipeline.Kind
+	cause string
+	retry time.Duration
+	first time.Duration
+	wrong string
+	text  string
+}
+
+// job is one request of the load.
+type job struct {
+	entry   Entry
+	account Account
+	tag     string
+	key     string
+}
+
+func (j job) body() []byte {
+	if j.entry.Plain {
+		return []byte(fmt.Sprintf(`{"challenge":%q}`, j.tag))
+	}
+	data, _ := json.Marshal(mppipeline.Input{
+		Input:  "question " + j.tag[1:3] + " asks " + j.tag,
+		Stream: j.entry.Stream,
+	})
+	return data
+}
+
+func (c *client) send(ctx context.Context, address string, j job) answer {
+	url := "http://" + address + "/v1/entries/" + j.entry.Name
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(j.body()))
+	if err != nil {
+		return answer{kind: lost, cause: err.Error()}
+	}
+	req.Header.Set("Authorization", "Bearer "+j.account.Key)
+	req.Header.Set("Content-Type", "application/json")
+	if j.entry.Once {
+		req.Header.Set(mpcaller.KeyHeader, j.key)
+	}
+	started := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{kind: lost, cause: "connection", text: err.Error()}
+	}
+	defer resp.Body.Close()
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return readStream(resp.Body, j, started)
+	}
+	return readWhole(resp, j)
+}
+
+func readWhole(resp *http.Response, j job) answer {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{kind: lost, cause: "cut", text: err.Error()}
+	}
+	kind := mppipeline.Kind(resp.Header.Get(mpcaller.OutcomeHeader))
+	a := answer{kind: kind, cause: resp.Header.Get(mpcaller.CauseHeader), text: string(body)}
+	if ms, err := strconv.ParseInt(resp.Header.Get(mpcaller.RetryHeader), 10, 64); err == nil {
+		a.retry = time.Duration(ms) * time.Millisecond
+	}
+	switch {
+	case kind == "":
+		a.kind = lost
+		a.wrong = "answer without an outcome"
+	case kind != mppipeline.Answered:
+	case !j.entry.Plain:
+		a.wrong = checkGenerated(body, j)
+	case !bytes.Contains(body, []byte(j.tag)):
+		a.wrong = fmt.Sprintf("answer to another request: %.100s", body)
+	}
+	return a
+}
+
+func checkGenerated(body []byte, j job) string {
+	var g mppipeline.Generated
+	if err := json.Unmarshal(body, &g); err != nil {
+		return err.Error()
+	}
+	return checkText(g.Text, g.Length, g.Hash, j)
+}
+
+func checkText(text string, length int, hash string, j job) string {
+	switch {
+	case len(text) != length:
+		return fmt.Sprintf("%d bytes of %d", len(text), length)
+	case fmt.Sprintf("%016x", xxhash.Sum64String(text)) != hash:
+		return "wrong hash"
+	case !strings.HasPrefix(text, j.tag):
+		return fmt.Sprintf("answer to another request: %.40s", text)
+	}
+	return ""
+}
+
+// readStream reads server-sent events up to the closing one.
+func readStream(body io.Reader, j job, started time.Time) answer {
+	var text strings.Builder
+	var first time.Duration
+	lines := bufio.NewScanner(body)
+	ending := false
+	for lines.Scan() {
+		line := lines.Text()
+		data, isData := strings.CutPrefix(line, "data: ")
+		switch {
+		case line == "event: end":
+			ending = true
+		case isData && ending:
+			return endStream(data, text.String(), first, j)
+		case isData:
+			if first == 0 {
+				first = time.Since(started)
+			}
+			var e struct{ Text string }
+			if err := json.Unmarshal([]byte(data), &e); err != nil {
+				return answer{kind: lost, wrong: err.Error()}
+			}
+			text.WriteString(e.Text)
+		}
+	}
+	return answer{kind: lost, cause: "cut"}
+}
+
+func endStream(data, text string, first time.Duration, j job) answer {
+	var e mpcaller.EndEvent
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		return answer{kind: lost, wrong: err.Error()}
+	}
+	a := answer{kind: e.Outcome, cause: e.Cause, first: first, text: e.Text}
+	if e.Outcome == mppipeline.Answered {
+		a.wrong = checkText(text, e.Length, e.Hash, j)
+	}
+	return a
+}
--- /dev/null
+++ b/mustardpost/commands/app.go
@@ -0,0 +1,109 @@
+// Package commands holds the subcommands of mustardpost.
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/process/mplead"
+	"mustardpost.org/mustardpost/internal/mpclient"
+)
+
+const defaultWait = 10 * time.Second
+
+// New returns the command line of mustardpost.
+func New() *cli.App {
+	return &cli.App{
+		Name:                 "mustardpost",
+		Usage:                "operate a mustardpost deployment",
+		EnableBashCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Aliases: []string{"a"}, EnvVars: []string{"MUSTARDPOST_ADDRESS"}, Usage: "operator `ADDRESS` of any VM"},
+			&cli.StringFlag{Name: "token", EnvVars: []string{"MUSTARDPOST_TOKEN"}, Usage: "operator's `TOKEN`"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON for scripts"},
+		},
+		Commands: []*cli.Command{
+			catalogue(), marks("dc", "data centre"), marks("vm", "VM"), marks("upstream", "upstream"),
+			status(), audit(), settings(), hash(),
+		},
+		ExitErrHandler: func(*cli.Context, error) {},
+		Description: "Exit codes: 0 done, 1 failed, 2 invalid, 3 conflict, 4 not found, 5 may have taken effect,\n" +
+			"6 accepted but not in force everywhere within --wait, 7 denied.",
+	}
+}
+
+func client(c *cli.Context) *mpclient.Client {
+	return mpclient.New(mpclient.Config{Address: c.String("address"), Token: c.String("token")})
+}
+
+func waitFlag() cli.Flag {
+	return &cli.DurationFlag{
+		Name: "wait", Value: defaultWait,
+		Usage: "how long to wait until the change is in force everywhere; 0 does not wait",
+	}
+}
+
+func idFlag() cli.Flag {
+	return &cli.StringFlag{Name: "id", Usage: "`ID` of the change, to resend one whose answer was lost"}
+}
+
+// send makes a change and prints how it was accepted.
+func send(c *cli.Context, change mpoperator.Change) error {
+	change.ID = c.String("id")
+	if change.ID == "" {
+		change.ID = mplead.NewID()
+	}
+	wait := c.Duration("wait")
+	change.Wait = int(wait.Milliseconds())
+	out, err := client(c).Change(c.Context, change)
+	if err != nil {
+		return mperror.Wrap(err, "change %s", change.ID)
+	}
+	if c.Bool("json") {
+		err = printJSON(c, out)
+	} else {
+		_, err = fmt.Fprintf(c.App.Writer, "revision %d, in force everywhere: %t, took %d ms\n", out.Revision, out.Force, out.Took)
+	}
+	if err == nil && wait > 0 && !out.Force {
+		return mperror.ErrNotInForce
+	}
+	return err
+}
+
+func printJSON(c *cli.Context, v any) error {
+	e := json.NewEncoder(c.App.Writer)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// table prints rows of columns, or v as JSON where that was asked for.
+func table(c *cli.Context, v any, head []any, rows [][]any) error {
+	if c.Bool("json") {
+		return printJSON(c, v)
+	}
+	w := tabwriter.NewWriter(c.App.Writer, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]any{head}, rows...) {
+		for _, cell := range row {
+			if _, err := fmt.Fprintf(w, "%v\t", cell); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintln(w); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func oneArg(c *cli.Context, what string) (string, error) {
+	if c.NArg() != 1 {
+		return "", mperror.Wrap(mperror.ErrInvalid, "%s takes one argument, %s", c.Command.FullName(), what)
+	}
+	return c.Args().First(), nil
+}
--- /dev/null
+++ b/mustardpost/commands/catalogue.go
@@ -0,0 +1,116 @@
+package commands
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/version/mpcatalogue"
+)
+
+func catalogue() *cli.Command {
+	return &cli.Command{
+		Name:  "catalogue",
+		Usage: "read and change the catalogue",
+		Subcommands: []*cli.Command{
+			{
+				Name: "apply", Usage: "put the rows of FILE that differ", ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					waitFlag(), idFlag(), pruneFlag(),
+					&cli.Uint64Flag{Name: "base", Usage: "refuse if a row changed after this `REVISION`; the present one if absent"},
+				},
+				Action: apply,
+			},
+			{Name: "get", Usage: "print the catalogue in force", Action: get},
+			{Name: "diff", Usage: "print what apply would change", ArgsUsage: "FILE", Flags: []cli.Flag{pruneFlag()}, Action: diff},
+			{
+				Name: "history", Usage: "list the changes of the catalogue", Flags: []cli.Flag{limitFlag()},
+				Action: func(c *cli.Context) error { return printAudit(c, true) },
+			},
+		},
+	}
+}
+
+func pruneFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "prune", Usage: "also drop rows that FILE lacks"}
+}
+
+func get(c *cli.Context) error {
+	var have mpoperator.Catalogue
+	if err := client(c).Get(c.Context, "/v1/catalogue", &have); err != nil {
+		return err
+	}
+	return printJSON(c, have.Catalogue)
+}
+
+// edit returns the change that leads from the catalogue in force to FILE, and
+// the revision that it was worked out against.
+func edit(c *cli.Context) (mpcatalogue.Edit, uint64, error) {
+	file, err := oneArg(c, "FILE")
+	if err != nil {
+		return mpcatalogue.Edit{}, 0, err
+	}
+	want, err := readDocument(file)
+	if err != nil {
+		return mpcatalogue.Edit{}, 0, err
+	}
+	var have mpoperator.Catalogue
+	if err := client(c).Get(c.Context, "/v1/catalogue", &have); err != nil {
+		return mpcatalogue.Edit{}, 0, err
+	}
+	e := mpcatalogue.Diff(have.Catalogue, want)
+	if !c.Bool("prune") {
+		e.Drop = mpcatalogue.Names{}
+	}
+	return e, have.Revision, nil
+}
+
+func readDocument(file string) (mpcatalogue.Document, error) {
+	var doc mpcatalogue.Document
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return doc, mperror.Wrap(mperror.ErrInvalid, "%v", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&doc); err != nil {
+		return doc, mperror.Wrap(mperror.ErrInvalid, "%s: %v", file, err)
+	}
+	return doc, nil
+}
+
+func apply(c *cli.Context) error {
+	e, revision, err := edit(c)
+	if err != nil {
+		return err
+	}
+	if len(e.Keys()) == 0 {
+		_, err := fmt.Fprintf(c.App.Writer, "nothing to change at revision %d\n", revision)
+		return err
+	}
+	if c.IsSet("base") {
+		revision = c.Uint64("base")
+	}
+	return send(c, mpoperator.Change{Base: revision, Edit: &e})
+}
+
+func diff(c *cli.Context) error {
+	e, _, err := edit(c)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(c, e)
+	}
+	for _, key := range e.Keys() {
+		if _, err := fmt.Fprintln(c.App.Writer, key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mustardpost/commands/settings.go
@@ -0,0 +1,47 @@
+package commands
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/process/mpsettings"
+)
+
+func settings() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "work with a VM's settings",
+		Subcommands: []*cli.Command{{
+			Name: "check", Usage: "check a settings file", ArgsUsage: "FILE",
+			Action: func(c *cli.Context) error {
+				file, err := oneArg(c, "FILE")
+				if err != nil {
+					return err
+				}
+				if _, err := mpsettings.Read(file); err != nil {
+					return err
+				}
+				_, err = fmt.Fprintln(c.App.Writer, "settings are valid")
+				return err
+			},
+		}},
+	}
+}
+
+func hash() *cli.Command {
+	return &cli.Command{
+		Name: "hash", Usage: "print the hash of an account's key or an operator's token", ArgsUsage: "TEXT",
+		Action: func(c *cli.Context) error {
+			text, err := oneArg(c, "TEXT")
+			if err != nil {
+				return err
+			}
+			sum := sha256.Sum256([]byte(text))
+			_, err = fmt.Fprintln(c.App.Writer, hex.EncodeToString(sum[:]))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/mustardpost/commands/status.go
@@ -0,0 +1,100 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mpdaemon"
+	"mustardpost.org/core/version/mpstate"
+	"mustardpost.org/core/version/mpview"
+)
+
+func status() *cli.Command {
+	return &cli.Command{Name: "status", Usage: "print an overview of the deployment", Action: printStatus}
+}
+
+func printStatus(c *cli.Context) error {
+	s, err := readStatus(c)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(c, s)
+	}
+	if _, err := fmt.Fprintf(c.App.Writer, "seen by VM %s at revision %d, lease %t\n", s.VM, s.Revision, s.Lease); err != nil {
+		return err
+	}
+	if err := table(c, s, vmHead, vmRows(s)); err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, raw := range s.Voters {
+		var v mpdaemon.VoterStatus
+		if err := json.Unmarshal(raw, &v); err != nil {
+			return mperror.Wrap(err, "voter status")
+		}
+		rows = append(rows, []any{v.VM, v.Status.Leading, v.Status.Term, v.Status.Commit, len(v.Status.Members.Voters())})
+	}
+	return table(c, s, []any{"VOTER", "LEADS", "TERM", "COMMIT", "VOTERS"}, rows)
+}
+
+func limitFlag() cli.Flag {
+	return &cli.IntFlag{Name: "limit", Value: 50, Usage: "print the newest `N`"}
+}
+
+func audit() *cli.Command {
+	return &cli.Command{
+		Name: "audit", Usage: "print the audit trail of changes", Flags: []cli.Flag{limitFlag()},
+		Action: func(c *cli.Context) error { return printAudit(c, false) },
+	}
+}
+
+// printAudit lists the newest changes, or only those of the catalogue.
+func printAudit(c *cli.Context, catalogueOnly bool) error {
+	var all, kept []mpstate.Record
+	if err := client(c).Get(c.Context, "/v1/audit?limit=5000", &all); err != nil {
+		return err
+	}
+	for _, r := range all {
+		if _, ok := r.Change.Op.(mpview.Edit); ok || !catalogueOnly {
+			kept = append(kept, r)
+		}
+	}
+	kept = kept[max(len(kept)-c.Int("limit"), 0):]
+	var rows [][]any
+	for _, r := range kept {
+		at := time.UnixMilli(r.At).UTC().Format(time.RFC3339)
+		rows = append(rows, []any{r.Revision, at, r.Who, r.ID, describe(r.Change.Op)})
+	}
+	return table(c, kept, []any{"REVISION", "AT", "WHO", "ID", "CHANGE"}, rows)
+}
+
+func describe(op mpview.Op) string {
+	switch op := op.(type) {
+	case mpview.Edit:
+		return "edit " + strings.Join(op.Edit.Keys(), " ")
+	case mpview.Mark:
+		if op.Out {
+			return fmt.Sprintf("%s %s out", op.Target, op.Name)
+		}
+		return fmt.Sprintf("%s %s in", op.Target, op.Name)
+	case mpview.Join:
+		return fmt.Sprintf("vm %s up in %s, leaving %t", op.VM.Name, op.VM.DC, op.VM.Leaving)
+	case mpview.Leave:
+		return "vm " + strings.Join(op.VMs, " ") + " down"
+	case mpview.Assign:
+		return fmt.Sprintf("%d groups assigned", len(op.Owners))
+	case mpview.Strike:
+		return fmt.Sprintf("strike against %d requests", len(op.Prints))
+	case mpview.Clear:
+		return fmt.Sprintf("strikes cleared of %d requests", len(op.Prints))
+	case mpview.Note:
+		return op.Kind + ": " + op.Text
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/mustardpostd/commands/check.go
@@ -0,0 +1,24 @@
+package commands
+
+import (
+	"fmt"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/process/mpsettings"
+)
+
+func check() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file without starting",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(c *cli.Context) error {
+			if _, err := mpsettings.Read(c.String("settings")); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(c.App.Writer, "settings are valid")
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/mustardpostd/commands/serve.go
@@ -0,0 +1,46 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v2"
+
+	"mustardpost.org/core/process/mpdaemon"
+	"mustardpost.org/core/process/mplog"
+	"mustardpost.org/core/process/mpsettings"
+)
+
+func serve() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the VM's process until it is told to leave",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(c *cli.Context) error {
+			s, err := mpsettings.Read(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return run(s)
+		},
+	}
+}
+
+func run(s mpsettings.Settings) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	leave, startLeaving := context.WithCancel(ctx)
+	defer startLeaving()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		startLeaving()
+		<-signals
+		stop()
+	}()
+	logger := mplog.New(os.Stderr, s.Log, "vm", s.VM, "dc", s.DC)
+	return mpdaemon.New(ctx, mpdaemon.Config{Settings: s, Logger: logger}).Run(ctx, leave)
+}
