--- a/core/connection/mpoperator/mpoperator.go
+++ b/core/connection/mpoperator/mpoperator.go
@@ -22,6 +22,7 @@
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpproposer"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpreplica"
 	"mustardpost.org/core/process/mpsettings"
 	"mustardpost.org/core/request/mppipeline"
 	"mustardpost.org/core/version/mpcatalogue"
@@ -250,6 +251,12 @@
 	Voters   []json.RawMessage `json:"voters"`
 }
 
+// Voter is one voter's row in a Status.
+type Voter struct {
+	VM     string           `json:"vm"`
+	Status mpreplica.Status `json:"status"`
+}
+
 // DC is one data centre's row in a Status.
 type DC struct {
 	Name string `json:"name"`
--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -116,7 +116,7 @@
 	if fail != nil {
 		return Answer{}, fail
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err != nil {
 		return Answer{}, failure(ctx, sent.Load(), err)
--- a/core/connection/mpupstream/stream.go
+++ b/core/connection/mpupstream/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 
 	"mustardpost.org/core/common/mperror"
 )
@@ -40,14 +41,14 @@
 	if fail != nil {
 		return Answer{}, Usage{}, fail
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	answer := Answer{
 		Status:   resp.StatusCode,
 		Type:     resp.Header.Get("Content-Type"),
 		Instance: resp.Header.Get(InstanceHeader),
 		Cold:     resp.Header.Get(ColdHeader) == "1",
 	}
-	if resp.StatusCode != 200 {
+	if resp.StatusCode != http.StatusOK {
 		answer.Body, _ = io.ReadAll(io.LimitReader(resp.Body, maxProblem))
 		return answer, Usage{}, nil
 	}
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -56,12 +56,6 @@
 	store   *mpdisk.Store
 }
 
-// VoterStatus is a voter's row in the operators' status.
-type VoterStatus struct {
-	VM     string           `json:"vm"`
-	Status mpreplica.Status `json:"status"`
-}
-
 // Daemon is the process of one VM.
 type Daemon struct {
 	cfg      Config
--- a/core/process/mpdaemon/peer.go
+++ b/core/process/mpdaemon/peer.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpoperator"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/request/mpattempt"
@@ -122,7 +123,7 @@
 		if v == nil {
 			return &mpwire.QueryReply{}, nil
 		}
-		answer = VoterStatus{VM: p.d.cfg.Settings.VM, Status: v.replica.Status()}
+		answer = mpoperator.Voter{VM: p.d.cfg.Settings.VM, Status: v.replica.Status()}
 	}
 	data, err := json.Marshal(answer)
 	if err != nil {
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	defer store.Close()
+	defer func() { _ = store.Close() }()
 	seat := mpquorum.Seat{Member: id.Member, VM: s.VM, Address: s.Peer}
 	if err := store.WriteSnapshot(mpquorum.Found(seat, nil)); err != nil {
 		return err
--- a/mustardfake/internal/mpload/directory.go
+++ b/mustardfake/internal/mpload/directory.go
@@ -81,6 +81,6 @@
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	return json.NewDecoder(resp.Body).Decode(v)
 }
--- a/mustardfake/internal/mpload/send.go
+++ b/mustardfake/internal/mpload/send.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return answer{kind: lost, cause: "connection", text: err.Error()}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return readStream(resp.Body, j, started)
 	}
--- a/mustardpost/commands/status.go
+++ b/mustardpost/commands/status.go
@@ -9,7 +9,7 @@
 	"github.com/urfave/cli/v2"
 
 	"mustardpost.org/core/common/mperror"
-	"mustardpost.org/core/process/mpdaemon"
+	"mustardpost.org/core/connection/mpoperator"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
 )
@@ -34,7 +34,7 @@
 	}
 	var rows [][]any
 	for _, raw := range s.Voters {
-		var v mpdaemon.VoterStatus
+		var v mpoperator.Voter
 		if err := json.Unmarshal(raw, &v); err != nil {
 			return mperror.Wrap(err, "voter status")
 		}
@@ -77,7 +77,7 @@
 func describe(op mpview.Op) string {
 	switch op := op.(type) {
 	case mpview.Edit:
-		return "edit " + strings.Join(op.Edit.Keys(), " ")
+		return describeKeys(op.Edit.Keys())
 	case mpview.Mark:
 		if op.Out {
 			return fmt.Sprintf("%s %s out", op.Target, op.Name)
@@ -98,3 +98,12 @@
 	}
 	return "unknown"
 }
+
+const shownKeys = 4
+
+func describeKeys(keys []string) string {
+	if len(keys) <= shownKeys {
+		return "edit " + strings.Join(keys, " ")
+	}
+	return fmt.Sprintf("edit %s and %d more rows", strings.Join(keys[:shownKeys], " "), len(keys)-shownKeys)
+}
--- a/mustardpost/internal/mpclient/mpclient.go
+++ b/mustardpost/internal/mpclient/mpclient.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return mperror.Wrap(err, "VM at %s", c.cfg.Address)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return mperror.Wrap(mperror.ErrUnknown, "answer of VM at %s: %v", c.cfg.Address, err)
