--- a/core/process/mpquorum/elect.go
+++ b/core/process/mpquorum/elect.go
@@ -14,7 +14,11 @@
 }
 
 func (n *Node) tickLeader(now time.Time) {
-	if now.Sub(n.quorumContact(now)) > 2*n.cfg.Election {
+	lost := now.Sub(n.quorumContact(now)) > 2*n.cfg.Election
+	// A handover that did not happen cannot be taken back, since the other
+	// voter may still campaign; this leader makes way for an election.
+	failed := n.isHanding() && now.Sub(n.handed) > n.cfg.Election
+	if lost || failed {
 		n.follow(now, n.hard.Term, 0)
 		return
 	}
@@ -72,7 +76,7 @@
 func (n *Node) becomeLeader(now time.Time) {
 	n.role = leader
 	n.lead = n.cfg.Self
-	n.handing = false
+	n.handed = time.Time{}
 	n.peers = map[Member]*progress{}
 	n.syncPeers(now)
 	n.termHead = n.log.last() + 1
@@ -105,7 +109,7 @@
 	n.role = follower
 	n.lead = lead
 	n.peers = nil
-	n.handing = false
+	n.handed = time.Time{}
 	n.resetDeadline(now)
 }
 
--- a/core/process/mpquorum/node.go
+++ b/core/process/mpquorum/node.go
@@ -77,7 +77,7 @@
 	force    bool
 	peers    map[Member]*progress
 	termHead uint64
-	handing  bool
+	handed   time.Time
 	out      Actions
 }
 
@@ -122,7 +122,7 @@
 	case Reconfigure:
 		err = n.reconfigure(now, e.Members)
 	case Transfer:
-		err = n.transfer()
+		err = n.transfer(now)
 	case Receive:
 		n.receive(now, e.Envelope)
 	default:
@@ -159,7 +159,7 @@
 // HasLease reports whether no other member can have been elected by now and
 // the state includes everything that was committed before this term.
 func (n *Node) HasLease(now time.Time) bool {
-	if n.role != leader || n.handing || n.applied < n.termHead {
+	if n.role != leader || n.isHanding() || n.applied < n.termHead {
 		return false
 	}
 	lease := time.Duration(float64(n.cfg.Election) * leaderLeasePart)
@@ -201,6 +201,10 @@
 	return Snapshot{Index: n.applied, Term: t, Members: n.membersAt(n.applied)}
 }
 
+// isHanding reports whether this leader has asked another voter to campaign.
+// From then on its lease is void, as that campaign overrides it.
+func (n *Node) isHanding() bool { return !n.handed.IsZero() }
+
 func (n *Node) members() Membership {
 	return n.configs[len(n.configs)-1].members
 }
--- a/core/process/mpquorum/replicate.go
+++ b/core/process/mpquorum/replicate.go
@@ -10,7 +10,7 @@
 )
 
 func (n *Node) propose(now time.Time, p Propose) error {
-	if n.role != leader || n.handing {
+	if n.role != leader || n.isHanding() {
 		return mperror.ErrNotLeader
 	}
 	for _, data := range p.Data {
@@ -25,7 +25,7 @@
 }
 
 func (n *Node) reconfigure(now time.Time, m Membership) error {
-	if n.role != leader || n.handing {
+	if n.role != leader || n.isHanding() {
 		return mperror.ErrNotLeader
 	}
 	if !n.Settled() || n.commit < n.termHead {
@@ -63,7 +63,7 @@
 	return count
 }
 
-func (n *Node) transfer() error {
+func (n *Node) transfer(now time.Time) error {
 	if n.role != leader {
 		return mperror.ErrNotLeader
 	}
@@ -77,7 +77,7 @@
 	if best == 0 || match < n.log.last() {
 		return mperror.Wrap(mperror.ErrConflict, "no voter holds the whole log")
 	}
-	n.handing = true
+	n.handed = now
 	n.send(best, Envelope{Campaign: &Campaign{}})
 	return nil
 }
--- /dev/null
+++ b/core/process/mpquorum/rules_test.go
@@ -0,0 +1,123 @@
+package mpquorum
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var testStart = time.Unix(1000, 0)
+
+func threeVoters() Membership {
+	return Membership{Seats: []Seat{
+		{Member: 1, VM: "vm1", Voter: true},
+		{Member: 2, VM: "vm2", Voter: true},
+		{Member: 3, VM: "vm3", Voter: true},
+	}}
+}
+
+func newNode(t *testing.T, hard Hard, entries ...Entry) *Node {
+	t.Helper()
+	n, err := New(Config{
+		Self: 1, Election: testElection, Heartbeat: testElection / 5,
+		Rand: rand.New(rand.NewPCG(1, 1)), Now: testStart,
+		Hard: hard, Snapshot: Snapshot{Index: 1, Term: 1, Members: threeVoters()}, Entries: entries,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func receive(t *testing.T, n *Node, now time.Time, e Envelope) Actions {
+	t.Helper()
+	e.To = 1
+	acts, err := n.Step(now, Receive{Envelope: e})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return acts
+}
+
+// elect makes n leader by the votes of member 2.
+func elect(t *testing.T, n *Node, now time.Time) {
+	t.Helper()
+	if _, err := n.Step(now, Tick{}); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, n, now, Envelope{From: 2, Term: n.Term() + 1, Vote: &VoteReply{Pre: true, Granted: true}})
+	receive(t, n, now, Envelope{From: 2, Term: n.Term(), Vote: &VoteReply{Granted: true}})
+	if !n.IsLeader() {
+		t.Fatal("not elected by two of three")
+	}
+}
+
+func TestVote(t *testing.T) {
+	later := testStart.Add(testElection)
+	ask := func(index, term uint64) Envelope {
+		return Envelope{From: 2, Term: 5, Ask: &VoteRequest{Index: index, Term: term}}
+	}
+	t.Run("a vote is persisted before it is sent", func(t *testing.T) {
+		acts := receive(t, newNode(t, Hard{Term: 4}), later, ask(1, 1))
+		if diff := cmp.Diff(&Hard{Term: 5, Vote: 2}, acts.Hard); diff != "" {
+			t.Errorf("persisted state (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("a persisted vote is not given again", func(t *testing.T) {
+		acts := receive(t, newNode(t, Hard{Term: 5, Vote: 3}), later, ask(1, 1))
+		if acts.Messages[0].Vote.Granted {
+			t.Error("granted a second vote in term 5")
+		}
+	})
+	t.Run("a shorter log gets no vote", func(t *testing.T) {
+		acts := receive(t, newNode(t, Hard{Term: 4}, Entry{Index: 2, Term: 4}), later, ask(9, 3))
+		if acts.Messages[0].Vote.Granted {
+			t.Error("granted a vote to an older log")
+		}
+	})
+	t.Run("no vote while a leader may hold its lease", func(t *testing.T) {
+		acts := receive(t, newNode(t, Hard{Term: 4}), testStart.Add(testElection/2), ask(1, 1))
+		if len(acts.Messages) != 0 {
+			t.Errorf("answered %v right after a restart", acts.Messages)
+		}
+	})
+}
+
+func TestCommitOfOldTerm(t *testing.T) {
+	now := testStart.Add(2 * testElection)
+	n := newNode(t, Hard{Term: 2}, Entry{Index: 2, Term: 2, Data: []byte("old")})
+	elect(t, n, now)
+	receive(t, n, now, Envelope{From: 2, Term: n.Term(), Ack: &AppendReply{Ok: true, Match: 2}})
+	if n.Commit() != 1 {
+		t.Errorf("commit = %d after a quorum held only an entry of an older term, want 1", n.Commit())
+	}
+	receive(t, n, now, Envelope{From: 2, Term: n.Term(), Ack: &AppendReply{Ok: true, Match: 3}})
+	if n.Commit() != 3 {
+		t.Errorf("commit = %d after a quorum held an entry of the leader's term, want 3", n.Commit())
+	}
+}
+
+// TestHandoverToDeadVoter covers a leader that stayed in its handover for
+// good, refused every proposal and kept the others from electing another.
+func TestHandoverToDeadVoter(t *testing.T) {
+	now := testStart.Add(2 * testElection)
+	n := newNode(t, Hard{Term: 2})
+	elect(t, n, now)
+	receive(t, n, now, Envelope{From: 2, Term: n.Term(), Ack: &AppendReply{Ok: true, Match: 2}})
+	if _, err := n.Step(now, Transfer{}); err != nil {
+		t.Fatal(err)
+	}
+	for range 12 {
+		now = now.Add(testElection / 10)
+		sent := now.Sub(testStart)
+		receive(t, n, now, Envelope{From: 2, Term: n.Term(), Ack: &AppendReply{Ok: true, Match: 2, Sent: sent}})
+		if _, err := n.Step(now, Tick{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n.IsLeader() {
+		t.Error("still leads after its handover failed")
+	}
+}
--- a/mustardfake/internal/mpsample/shape.go
+++ b/mustardfake/internal/mpsample/shape.go
@@ -73,9 +73,9 @@
 	{Name: "assist", Deadline: 5000, Priority: 1},
 }
 
-func assist(name, owner, generate string, share float64, tokens int, stream bool) entryShape {
+func assist(name, owner string, share float64, tokens int, stream bool) entryShape {
 	e := mpcatalogue.Entry{Name: name, Owner: owner, Class: "assist"}
-	e.Stages = stages("encoder", "retriever", "reranker", generate)
+	e.Stages = stages("encoder", "retriever", "reranker", "engine")
 	e.Stages[3].Tokens = tokens
 	return entryShape{e, mpload.Entry{Name: name, Share: share, Stream: stream, Deadline: 5000, Kind: "generate"}}
 }
@@ -114,9 +114,9 @@
 		pools:    append(models(2), service("ladder", 1), service("orders", 1)),
 		accounts: accounts(4, 1, 1),
 		entries: []entryShape{
-			assist("rules", "prairies", "engine", 2, 16, true),
-			assist("review", "prairies", "engine", 1, 24, false),
-			assist("listing", "austro", "engine", 1, 48, true),
+			assist("rules", "prairies", 2, 16, true),
+			assist("review", "prairies", 1, 24, false),
+			assist("listing", "austro", 1, 48, true),
 			live("result", "prairies", "ladder", "/results", 2, true),
 			live("standings", "prairies", "ladder", "/standings", 3, false),
 			live("order", "austro", "orders", "/orders", 1, true),
@@ -129,9 +129,9 @@
 		pools:    append(models(2), service("ladder", 1), service("roster", 1), service("scheduling", 1), service("dues", 1)),
 		accounts: accounts(6, 4, 1, 1, 1),
 		entries: []entryShape{
-			assist("summary", "prairies", "engine", 1, 48, false),
-			assist("review", "prairies", "engine", 1, 32, true),
-			assist("rules", "prairies", "engine", 3, 16, true),
+			assist("summary", "prairies", 1, 48, false),
+			assist("review", "prairies", 1, 32, true),
+			assist("rules", "prairies", 3, 16, true),
 			live("result", "prairies", "ladder", "/results", 3, true),
 			live("standings", "prairies", "ladder", "/standings", 6, false),
 			live("roster", "prairies", "roster", "/roster", 2, false),
@@ -145,8 +145,8 @@
 		pools:    append(models(1), service("orders", 1), service("photos", 2), service("shipping", 2), service("accounts", 1)),
 		accounts: accounts(5, 3, 1, 1, 1),
 		entries: []entryShape{
-			assist("listing", "austro", "engine", 1, 64, true),
-			assist("buyer", "austro", "engine", 3, 24, true),
+			assist("listing", "austro", 1, 64, true),
+			assist("buyer", "austro", 3, 24, true),
 			live("order", "austro", "orders", "/orders", 2, true),
 			live("stock", "austro", "orders", "/stock", 4, false),
 			live("photo", "austro", "photos", "/photos", 1, false),
