--- /dev/null
+++ b/core/connection/mplease/random_test.go
@@ -0,0 +1,147 @@
+package mplease
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mustardpost.org/core/common/mpseed"
+)
+
+func TestMain(m *testing.M) {
+	fmt.Println("seed", mpseed.Fix())
+	os.Exit(m.Run())
+}
+
+const (
+	testSpan   = 2000 * time.Millisecond
+	testMargin = 100 * time.Millisecond
+)
+
+// vm is a VM whose clock runs at its own rate, at most 2 % off.
+type vm struct {
+	name     string
+	rate     float64
+	revision uint64
+	lease    Holder
+}
+
+func (v *vm) clock(now time.Time) time.Time {
+	return time.Unix(0, int64(float64(now.UnixNano())*v.rate))
+}
+
+// reply is a renewal on its way back; it may arrive late or never.
+type reply struct {
+	vm       *vm
+	sent     time.Time
+	revision uint64
+}
+
+type deployment struct {
+	now      time.Time
+	vms      []*vm
+	names    []string
+	tracker  *Tracker
+	revision uint64
+	flight   []reply
+	inForce  uint64
+	checked  int
+}
+
+func newDeployment(t *rapid.T) *deployment {
+	d := &deployment{now: time.Unix(100, 0), revision: 1}
+	for i := range 4 {
+		rate := 1 + float64(rapid.IntRange(-20, 20).Draw(t, "drift"))/1000
+		d.vms = append(d.vms, &vm{name: fmt.Sprintf("vm%d", i), rate: rate})
+		d.names = append(d.names, d.vms[i].name)
+	}
+	d.elect(t)
+	return d
+}
+
+func (d *deployment) elect(*rapid.T) {
+	d.tracker = NewTracker(Config{Span: testSpan, Margin: testMargin, Since: d.now})
+}
+
+func (d *deployment) pick(t *rapid.T) *vm {
+	return d.vms[rapid.IntRange(0, len(d.vms)-1).Draw(t, "vm")]
+}
+
+// renew sends a renewal that reaches the leader a moment after it was sent.
+func (d *deployment) renew(t *rapid.T) {
+	v := d.pick(t)
+	sent := v.clock(d.now)
+	d.now = d.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "way")) * time.Millisecond)
+	d.tracker.Confirm(v.name, v.revision)
+	d.tracker.Grant(d.now, v.name, d.revision)
+	d.flight = append(d.flight, reply{v, sent, d.revision})
+}
+
+func (d *deployment) arrive(t *rapid.T) {
+	if len(d.flight) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(d.flight)-1).Draw(t, "reply")
+	r := d.flight[i]
+	d.flight = append(d.flight[:i:i], d.flight[i+1:]...)
+	if r.revision < r.vm.revision {
+		return
+	}
+	r.vm.revision = r.revision
+	r.vm.lease.Renewed(r.sent, testSpan)
+}
+
+// check asserts that a revision that the leader calls in force is acted on by
+// every VM that may act at all, and that it never falls back.
+func (d *deployment) check(t *rapid.T) {
+	for rev := d.revision; rev > d.inForce; rev-- {
+		if d.tracker.InForce(d.now, rev, d.names) {
+			d.inForce = rev
+		}
+	}
+	for _, v := range d.vms {
+		if !v.lease.IsValid(v.clock(d.now)) {
+			continue
+		}
+		d.checked++
+		if v.revision < d.inForce {
+			t.Fatalf("%s acts on revision %d while %d is in force", v.name, v.revision, d.inForce)
+		}
+		for _, name := range d.tracker.Expired(d.now, d.names) {
+			if name == v.name {
+				t.Fatalf("%s is taken for expired while it holds a lease", v.name)
+			}
+		}
+	}
+}
+
+func TestRandom(t *testing.T) {
+	checked := 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDeployment(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        d.check,
+			"renew":   d.renew,
+			"renew2":  d.renew,
+			"arrive":  d.arrive,
+			"arrive2": d.arrive,
+			"lose":    func(*rapid.T) { d.flight = nil },
+			"change":  func(*rapid.T) { d.revision++ },
+			"elect":   d.elect,
+			"wait": func(t *rapid.T) {
+				d.now = d.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		// Without renewals a change is in force after one lease and its margin.
+		d.revision++
+		d.now = d.now.Add(testSpan + testMargin)
+		if !d.tracker.InForce(d.now, d.revision, d.names) {
+			t.Fatalf("revision %d not in force after a lease and its margin", d.revision)
+		}
+		checked += d.checked
+	})
+	t.Logf("%d leases checked", checked)
+}
--- /dev/null
+++ b/core/process/mpdisk/store_test.go
@@ -0,0 +1,266 @@
+package mpdisk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mpquorum"
+)
+
+func entry(index, term uint64, data string) mpquorum.Entry {
+	return mpquorum.Entry{Index: index, Term: term, Data: []byte(data)}
+}
+
+// writeLog saves three batches and returns the log file and its size after each.
+func writeLog(t *testing.T, dir string) (string, []int64) {
+	t.Helper()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sizes := []int64{}
+	for i, e := range []mpquorum.Entry{entry(2, 1, "one"), entry(3, 1, "two"), entry(4, 2, "three")} {
+		if err := s.Save(&mpquorum.Hard{Term: uint64(i + 1)}, []mpquorum.Entry{e}); err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, s.Size())
+	}
+	name := s.file.Name()
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return name, sizes
+}
+
+func open(t *testing.T, dir string) Loaded {
+	t.Helper()
+	s, l, err := Open(dir)
+	if err != nil {
+		t.Fatalf("Open: %v", err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return l
+}
+
+func checkEntries(t *testing.T, l Loaded, want ...mpquorum.Entry) {
+	t.Helper()
+	if diff := cmp.Diff(want, l.Entries); diff != "" {
+		t.Errorf("entries (-want +got):\n%s", diff)
+	}
+}
+
+func edit(t *testing.T, file string, change func([]byte) []byte) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, change(data), fileMode); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOpen(t *testing.T) {
+	t.Run("a torn tail is cut at every length", func(t *testing.T) {
+		dir := t.TempDir()
+		file, sizes := writeLog(t, dir)
+		whole, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for size := sizes[1]; size < sizes[2]; size++ {
+			edit(t, file, func([]byte) []byte { return whole[:size] })
+			l := open(t, dir)
+			checkEntries(t, l, entry(2, 1, "one"), entry(3, 1, "two"))
+			if int64(l.Cut) != size-sizes[1] {
+				t.Errorf("cut %d bytes of a tail of %d", l.Cut, size-sizes[1])
+			}
+		}
+	})
+	t.Run("appending goes on after a cut", func(t *testing.T) {
+		dir := t.TempDir()
+		file, sizes := writeLog(t, dir)
+		edit(t, file, func(data []byte) []byte { return data[:sizes[1]+5] })
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Save(nil, []mpquorum.Entry{entry(4, 3, "again")}); err != nil {
+			t.Fatal(err)
+		}
+		_ = s.Close()
+		checkEntries(t, open(t, dir), entry(2, 1, "one"), entry(3, 1, "two"), entry(4, 3, "again"))
+	})
+	t.Run("a sector that was never written is a torn tail", func(t *testing.T) {
+		dir := t.TempDir()
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		big := entry(2, 1, string(make([]byte, 4*sectorBytes)))
+		for i := range big.Data {
+			big.Data[i] = 'x'
+		}
+		if err := s.Save(nil, []mpquorum.Entry{big}); err != nil {
+			t.Fatal(err)
+		}
+		file := s.file.Name()
+		_ = s.Close()
+		edit(t, file, func(data []byte) []byte {
+			clear(data[len(data)-3*sectorBytes:])
+			return data
+		})
+		checkEntries(t, open(t, dir))
+	})
+	t.Run("any changed byte before the tail is refused", func(t *testing.T) {
+		dir := t.TempDir()
+		file, sizes := writeLog(t, dir)
+		for at := range sizes[1] {
+			flip := func(data []byte) []byte {
+				data[at] ^= 0x40
+				return data
+			}
+			edit(t, file, flip)
+			s, l, err := Open(dir)
+			// A changed length can only look torn when it reaches past the end.
+			if err == nil {
+				_ = s.Close()
+				t.Fatalf("byte %d changed: opened with %d entries", at, len(l.Entries))
+			}
+			if !errors.Is(err, mperror.ErrCorrupt) {
+				t.Fatalf("byte %d changed: %v, want ErrCorrupt", at, err)
+			}
+			edit(t, file, flip)
+		}
+	})
+	t.Run("a bad snapshot is refused", func(t *testing.T) {
+		dir := t.TempDir()
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		if err := s.WriteSnapshot(mpquorum.Snapshot{Index: 9, Data: []byte("state")}); err != nil {
+			t.Fatal(err)
+		}
+		edit(t, s.snapPath(9), func(data []byte) []byte {
+			data[len(data)-1] ^= 1
+			return data
+		})
+		if _, _, err := Open(dir); !errors.Is(err, mperror.ErrCorrupt) {
+			t.Errorf("Open = %v, want ErrCorrupt", err)
+		}
+	})
+}
+
+func TestRewrittenEntries(t *testing.T) {
+	dir := t.TempDir()
+	writeLog(t, dir)
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Save(nil, []mpquorum.Entry{entry(3, 4, "other")}); err != nil {
+		t.Fatal(err)
+	}
+	_ = s.Close()
+	checkEntries(t, open(t, dir), entry(2, 1, "one"), entry(3, 4, "other"))
+}
+
+// TestKilledCompaction stops a compaction after each of its files and checks
+// that what was saved before is still there.
+func TestKilledCompaction(t *testing.T) {
+	snap := mpquorum.Snapshot{Index: 3, Term: 1, Data: []byte("state")}
+	hard := mpquorum.Hard{Term: 3}
+	tail := []mpquorum.Entry{entry(4, 2, "three")}
+	prepare := func(t *testing.T) (*Store, string) {
+		dir := t.TempDir()
+		writeLog(t, dir)
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() })
+		return s, dir
+	}
+	check := func(t *testing.T, dir string, wantSnap uint64) {
+		t.Helper()
+		l := open(t, dir)
+		if l.Hard != hard || l.Snapshot.Index != wantSnap {
+			t.Errorf("vote %v and snapshot %d, want %v and %d", l.Hard, l.Snapshot.Index, hard, wantSnap)
+		}
+		if diff := cmp.Diff(tail, l.Entries[len(l.Entries)-1:]); diff != "" {
+			t.Errorf("last entry (-want +got):\n%s", diff)
+		}
+	}
+	t.Run("in the middle of the snapshot file", func(t *testing.T) {
+		_, dir := prepare(t)
+		part := filepath.Join(dir, "snap-00000000000000000003"+scratch)
+		if err := os.WriteFile(part, []byte("half"), fileMode); err != nil {
+			t.Fatal(err)
+		}
+		check(t, dir, 0)
+	})
+	t.Run("after the snapshot file", func(t *testing.T) {
+		s, dir := prepare(t)
+		if err := s.WriteSnapshot(snap); err != nil {
+			t.Fatal(err)
+		}
+		check(t, dir, 3)
+	})
+	t.Run("in the middle of the new log", func(t *testing.T) {
+		s, dir := prepare(t)
+		if err := s.WriteSnapshot(snap); err != nil {
+			t.Fatal(err)
+		}
+		part := filepath.Join(dir, "log-00000000000000000002"+scratch)
+		if err := os.WriteFile(part, []byte("half"), fileMode); err != nil {
+			t.Fatal(err)
+		}
+		check(t, dir, 3)
+	})
+	t.Run("before the old files are removed", func(t *testing.T) {
+		s, dir := prepare(t)
+		if err := s.WriteSnapshot(snap); err != nil {
+			t.Fatal(err)
+		}
+		frame, err := encodeFrame(batch{Hard: &hard, Entries: tail})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.switchTo(s.seq+1, frame); err != nil {
+			t.Fatal(err)
+		}
+		check(t, dir, 3)
+	})
+	t.Run("not at all", func(t *testing.T) {
+		s, dir := prepare(t)
+		if err := s.WriteSnapshot(snap); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Switch(3, hard, tail); err != nil {
+			t.Fatal(err)
+		}
+		check(t, dir, 3)
+	})
+}
+
+func TestIdentity(t *testing.T) {
+	dir := t.TempDir()
+	if _, ok, err := ReadIdentity(dir); ok || err != nil {
+		t.Fatalf("ReadIdentity of an empty folder = %t, %v", ok, err)
+	}
+	want := Identity{Cluster: 5, Member: 6}
+	if err := WriteIdentity(dir, want); err != nil {
+		t.Fatal(err)
+	}
+	got, ok, err := ReadIdentity(dir)
+	if !ok || err != nil || got != want {
+		t.Errorf("ReadIdentity = %v, %t, %v, want %v", got, ok, err, want)
+	}
+}
