mppermit: Wait for attempts of VMs that left without a word

Cause: a VM frozen while its group changes owner keeps its connections to upstreams, so its attempts run on; it cannot register them, and after the grace of one lease the new owner gave out the same places again. Ruled out: late grants of the former owner (the attempt was granted long before). A new owner now waits until the longest deadline of the pool's entries has passed, unless the departed VM's machine refuses connections, in which case its process and its attempts have ended.

--- a/core/process/mpowner/mpowner.go
+++ b/core/process/mpowner/mpowner.go
@@ -56,11 +56,13 @@
 
 	mu       sync.RWMutex
 	revision uint64
+	view     *mpview.View
+	departed map[string]time.Time
 }
 
 // New returns an owner without groups.
 func New(cfg Config) *Owner {
-	o := &Owner{cfg: cfg}
+	o := &Owner{cfg: cfg, view: mpview.Empty(), departed: map[string]time.Time{}}
 	for i := range o.shards {
 		o.shards[i].cells = map[string]*cell{}
 	}
@@ -74,6 +76,7 @@
 // OnView takes over a new view: it opens groups that became this VM's, adapts
 // those that stay, and closes those that went.
 func (o *Owner) OnView(now time.Time, old, next *mpview.View) {
+	o.noteDeparted(now, old, next)
 	for i := range o.shards {
 		o.closeLost(&o.shards[i], next)
 	}
@@ -85,6 +88,7 @@
 	}
 	o.mu.Lock()
 	o.revision = next.Revision()
+	o.view = next
 	o.mu.Unlock()
 }
 
@@ -105,7 +109,7 @@
 	s := o.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cfg := o.describe(name, own, next)
+	cfg := o.describe(now, name, own, next)
 	c, ok := s.cells[name]
 	if !ok {
 		group := mppermit.NewGroup(now, cfg)
@@ -134,8 +138,13 @@
 	return u.Pool
 }
 
-func (o *Owner) describe(name string, own mpview.Ownership, v *mpview.View) mppermit.Config {
-	cfg := mppermit.Config{Epoch: own.Epoch, Grace: o.cfg.Lease + graceExtra, Fresh: own.Fresh}
+func (o *Owner) describe(now time.Time, name string, own mpview.Ownership, v *mpview.View) mppermit.Config {
+	cfg := mppermit.Config{
+		Epoch: own.Epoch,
+		Grace: o.cfg.Lease + graceExtra,
+		Quiet: o.quietUntil(now, poolOf(v.Catalogue(), name), v),
+		Fresh: own.Fresh,
+	}
 	for _, u := range v.Catalogue().Group(name) {
 		up, _ := v.Catalogue().Upstream(u)
 		pool, _ := v.Catalogue().Pool(up.Pool)
--- a/core/request/mppermit/group.go
+++ b/core/request/mppermit/group.go
@@ -30,6 +30,10 @@
 	// Grace is how long after a change of owner a VM may still use permits of
 	// the former owner without having registered.
 	Grace time.Duration
+	// Quiet is until when attempts of VMs that left without a word may still
+	// run, unknown to a new owner. Their processes may be frozen, and a frozen
+	// process keeps its connections to upstreams open.
+	Quiet time.Time
 	// Fresh tells that no permit can be out, as the group is new.
 	Fresh bool
 }
@@ -51,6 +55,7 @@
 	queue   fair
 	missing mpset.Set[string]
 	opensAt time.Time
+	quiet   time.Time
 	took    durations
 	breach  string
 }
@@ -67,6 +72,7 @@
 	if !cfg.Fresh {
 		g.missing = mpset.Of(cfg.VMs...)
 		g.opensAt = now.Add(cfg.Grace)
+		g.quiet = cfg.Quiet
 	}
 	g.Configure(now, cfg)
 	return g
@@ -96,6 +102,9 @@
 		}
 	}
 	g.names = seen.Sorted()
+	if cfg.Quiet.Before(g.quiet) {
+		g.quiet = cfg.Quiet
+	}
 	up := mpset.Of(cfg.VMs...)
 	for vm := range g.missing {
 		if !up.Has(vm) {
@@ -491,11 +500,11 @@
 }
 
 func (g *Group) isStarting(now time.Time) bool {
-	return len(g.missing) > 0 && now.Before(g.opensAt)
+	return now.Before(g.quiet) || len(g.missing) > 0 && now.Before(g.opensAt)
 }
 
 func (g *Group) untilOpen(now time.Time) time.Duration {
-	return min(g.opensAt.Sub(now), shortRetry)
+	return min(max(g.opensAt.Sub(now), g.quiet.Sub(now)), shortRetry)
 }
 
 // durations keeps the last service times of a group.
--- a/core/version/mpcatalogue/catalogue.go
+++ b/core/version/mpcatalogue/catalogue.go
@@ -159,6 +159,9 @@
 	return r, ok
 }
 
+// Entries returns the entries in the order of their names.
+func (c *Catalogue) Entries() []Entry { return c.entries.sorted() }
+
 // Account returns the account called name.
 func (c *Catalogue) Account(name string) (Account, bool) {
 	r, ok := c.accounts[name]
