mppermit: Confirm limits after silence, and pass them on to a new owner

Cause 1: an upstream that restarts while idle breaks no attempt, so its owner kept the warm limit. Shown by the random run with such restarts: without the doubt, 2 attempts on an upstream that bears 1 (case 156). After half a second of silence the limit now falls back to cold until an answer of the same instance. Cause 2: a new owner started every upstream cold. VMs now tell it the limits that they saw together with the instance; these count after one answer. Ruled out: taking the hint at once (mutation fails at case 0). Permits of attempts that were cancelled in cold start are kept 100 ms longer, since the upstream notices the cancellation later.

--- a/core/process/mpdaemon/peer.go
+++ b/core/process/mpdaemon/peer.go
@@ -149,7 +149,7 @@
 }
 
 func (p *peer) Register(_ context.Context, r *mpwire.RegisterRequest) (*mpwire.RegisterReply, error) {
-	err := p.d.owner.Register(time.Now(), r.GetVm(), r.GetRevision(), r.GetGroups(), mpattempt.DecodeHeld(r))
+	err := p.d.owner.Register(time.Now(), r.GetVm(), r.GetRevision(), r.GetGroups(), mpattempt.DecodeKnown(r))
 	if err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
--- a/core/process/mpowner/mpowner.go
+++ b/core/process/mpowner/mpowner.go
@@ -241,7 +241,7 @@
 
 // Register notes which permits of the groups vm holds, as of a revision. It
 // returns ErrNotOwner while this VM has not seen that revision itself.
-func (o *Owner) Register(now time.Time, vm string, revision uint64, groups []string, held map[string][]mppermit.Held) error {
+func (o *Owner) Register(now time.Time, vm string, revision uint64, groups []string, known map[string]mppermit.Known) error {
 	o.mu.RLock()
 	seen := o.revision
 	o.mu.RUnlock()
@@ -254,7 +254,7 @@
 		// A registration older than the epoch says nothing about permits of
 		// the owner in between.
 		if c, ok := s.cells[name]; ok && c.group.Epoch() <= revision {
-			c.deliver(c.group.Register(now, vm, held[name]))
+			c.deliver(c.group.Register(now, vm, known[name]))
 		}
 		s.mu.Unlock()
 	}
--- a/core/request/mpattempt/broker.go
+++ b/core/request/mpattempt/broker.go
@@ -41,6 +41,8 @@
 	group    string
 	upstream string
 	hedge    time.Duration
+	limit    int
+	instance string
 }
 
 // Attempt returns the id under which the attempt must travel.
@@ -71,6 +73,14 @@
 	alone    bool
 }
 
+// seenRow is what this VM remembers of an upstream, for its next owner.
+type seenRow struct {
+	group    string
+	limit    int
+	instance string
+	at       time.Time
+}
+
 // Broker is one VM's source of permits. It is safe for concurrent use.
 type Broker struct {
 	cfg Config
@@ -79,6 +89,7 @@
 	mu          sync.Mutex
 	view        *mpview.View
 	held        map[mppermit.Attempt]heldRow
+	seen        map[string]seenRow
 	registering map[string]int
 	lines       map[string]chan settlement
 }
@@ -96,6 +107,7 @@
 		ctx:         ctx,
 		view:        mpview.Empty(),
 		held:        map[mppermit.Attempt]heldRow{},
+		seen:        map[string]seenRow{},
 		registering: map[string]int{},
 		lines:       map[string]chan settlement{},
 	}
@@ -132,7 +144,14 @@
 			b.queue(group, mppermit.Settlement{Attempt: ask.Attempt, End: mppermit.Unused})
 			return Permit{}, &Refusal{retryPause, mperror.Wrap(mperror.ErrNotOwner, "group %s changed owner", group)}
 		}
-		return Permit{attempt: ask.Attempt, group: group, upstream: d.Upstream, hedge: d.Hedge}, nil
+		return Permit{
+			attempt:  ask.Attempt,
+			group:    group,
+			upstream: d.Upstream,
+			hedge:    d.Hedge,
+			limit:    d.Limit,
+			instance: d.Instance,
+		}, nil
 	case mppermit.Refuse:
 		return Permit{}, &Refusal{d.Retry, causeError(d.Cause)}
 	}
@@ -201,6 +220,10 @@
 	e.Attempt = p.attempt
 	b.mu.Lock()
 	delete(b.held, p.attempt)
+	// A limit is worth remembering only for the process that it was known of.
+	if e.End == mppermit.Done && e.Instance != "" && e.Instance == p.instance {
+		b.seen[p.upstream] = seenRow{p.group, p.limit, p.instance, b.cfg.Clock()}
+	}
 	b.mu.Unlock()
 	b.queue(p.group, e)
 }
@@ -219,6 +242,11 @@
 		b.registering[group]++
 	}
 	b.view = next
+	for name := range b.seen {
+		if _, ok := next.Catalogue().Upstream(name); !ok {
+			delete(b.seen, name)
+		}
+	}
 	for vm, groups := range byOwner {
 		go b.register(vm, next.Revision(), groups)
 	}
@@ -229,8 +257,8 @@
 func (b *Broker) register(vm string, revision uint64, groups []string) {
 	defer b.registered(groups)
 	for b.ctx.Err() == nil {
-		held, row, ok := b.stillHeld(vm, groups)
-		if !ok || b.tryRegister(row, revision, groups, held) == nil {
+		known, row, ok := b.known(vm, groups)
+		if !ok || b.tryRegister(row, revision, groups, known) == nil {
 			return
 		}
 		pause(b.ctx)
@@ -248,35 +276,43 @@
 	}
 }
 
-func (b *Broker) stillHeld(vm string, groups []string) (map[string][]mppermit.Held, mpview.VM, bool) {
+// known returns what vm must hear as the new owner of groups, and false when it
+// no longer owns any of them.
+func (b *Broker) known(vm string, groups []string) (map[string]mppermit.Known, mpview.VM, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	row, up := b.view.VM(vm)
 	if !up {
 		return nil, row, false
 	}
-	held := map[string][]mppermit.Held{}
+	known := map[string]mppermit.Known{}
 	owned := false
 	for _, g := range groups {
 		own, ok := b.view.Owner(g)
 		owned = owned || ok && own.VM == vm
-		held[g] = nil
+		known[g] = mppermit.Known{}
 	}
 	now := b.cfg.Clock()
 	for a, h := range b.held {
-		if _, ok := held[h.group]; ok {
-			one := mppermit.Held{Attempt: a, Upstream: h.upstream, Left: h.deadline.Sub(now), Alone: h.alone}
-			held[h.group] = append(held[h.group], one)
+		if k, ok := known[h.group]; ok {
+			k.Held = append(k.Held, mppermit.Held{Attempt: a, Upstream: h.upstream, Left: h.deadline.Sub(now), Alone: h.alone})
+			known[h.group] = k
+		}
+	}
+	for name, s := range b.seen {
+		if k, ok := known[s.group]; ok {
+			k.Seen = append(k.Seen, mppermit.Seen{Upstream: name, Limit: s.limit, Instance: s.instance, Age: now.Sub(s.at)})
+			known[s.group] = k
 		}
 	}
-	return held, row, owned
+	return known, row, owned
 }
 
 func (b *Broker) tryRegister(
-	vm mpview.VM, revision uint64, groups []string, held map[string][]mppermit.Held,
+	vm mpview.VM, revision uint64, groups []string, known map[string]mppermit.Known,
 ) error {
 	if vm.Name == b.cfg.VM {
-		return b.cfg.Local.Register(b.cfg.Clock(), vm.Name, revision, groups, held)
+		return b.cfg.Local.Register(b.cfg.Clock(), vm.Name, revision, groups, known)
 	}
 	peer, err := b.cfg.Client.To(vm.Peer)
 	if err != nil {
@@ -284,7 +320,7 @@
 	}
 	ctx, cancel := context.WithTimeout(b.ctx, callDeadline)
 	defer cancel()
-	_, err = peer.Register(ctx, encodeRegister(b.cfg.VM, revision, groups, held))
+	_, err = peer.Register(ctx, encodeRegister(b.cfg.VM, revision, groups, known))
 	return err
 }
 
--- a/core/request/mpattempt/wire.go
+++ b/core/request/mpattempt/wire.go
@@ -55,7 +55,9 @@
 func EncodeDecision(d mppermit.Decision) *mpwire.AcquireReply {
 	switch d := d.(type) {
 	case mppermit.Grant:
-		return &mpwire.AcquireReply{Upstream: d.Upstream, HedgeMs: ms(d.Hedge)}
+		return &mpwire.AcquireReply{
+			Upstream: d.Upstream, HedgeMs: ms(d.Hedge), Limit: uint32(d.Limit), Instance: d.Instance,
+		}
 	case mppermit.Refuse:
 		return &mpwire.AcquireReply{Cause: wireCause(d.Cause), RetryMs: ms(d.Retry)}
 	}
@@ -81,7 +83,13 @@
 	}
 	switch r.GetCause() {
 	case mpwire.AcquireReply_GRANTED:
-		return mppermit.Grant{Attempt: a, Upstream: r.GetUpstream(), Hedge: fromMS(r.GetHedgeMs())}, nil
+		return mppermit.Grant{
+			Attempt:  a,
+			Upstream: r.GetUpstream(),
+			Hedge:    fromMS(r.GetHedgeMs()),
+			Limit:    int(r.GetLimit()),
+			Instance: r.GetInstance(),
+		}, nil
 	case mpwire.AcquireReply_LATE:
 		return refuse(mppermit.Late), nil
 	case mpwire.AcquireReply_EMPTY:
@@ -121,10 +129,10 @@
 	}
 }
 
-func encodeRegister(vm string, revision uint64, groups []string, held map[string][]mppermit.Held) *mpwire.RegisterRequest {
+func encodeRegister(vm string, revision uint64, groups []string, known map[string]mppermit.Known) *mpwire.RegisterRequest {
 	r := &mpwire.RegisterRequest{Vm: vm, Revision: revision, Groups: groups}
-	for group, list := range held {
-		for _, h := range list {
+	for group, k := range known {
+		for _, h := range k.Held {
 			r.Held = append(r.Held, &mpwire.Held{
 				Group:    group,
 				Attempt:  uint64(h.Attempt),
@@ -133,20 +141,41 @@
 				Alone:    h.Alone,
 			})
 		}
+		for _, s := range k.Seen {
+			r.Seen = append(r.Seen, &mpwire.Seen{
+				Group:    group,
+				Upstream: s.Upstream,
+				Limit:    uint32(s.Limit),
+				Instance: s.Instance,
+				AgeMs:    ms(s.Age),
+			})
+		}
 	}
 	return r
 }
 
-// DecodeHeld returns the permits of a RegisterRequest by group.
-func DecodeHeld(r *mpwire.RegisterRequest) map[string][]mppermit.Held {
-	held := map[string][]mppermit.Held{}
+// DecodeKnown returns what a RegisterRequest tells, by group.
+func DecodeKnown(r *mpwire.RegisterRequest) map[string]mppermit.Known {
+	known := map[string]mppermit.Known{}
 	for _, h := range r.GetHeld() {
-		held[h.GetGroup()] = append(held[h.GetGroup()], mppermit.Held{
+		k := known[h.GetGroup()]
+		k.Held = append(k.Held, mppermit.Held{
 			Attempt:  mppermit.Attempt(h.GetAttempt()),
 			Upstream: h.GetUpstream(),
 			Left:     fromMS(h.GetLeftMs()),
 			Alone:    h.GetAlone(),
 		})
+		known[h.GetGroup()] = k
+	}
+	for _, s := range r.GetSeen() {
+		k := known[s.GetGroup()]
+		k.Seen = append(k.Seen, mppermit.Seen{
+			Upstream: s.GetUpstream(),
+			Limit:    int(s.GetLimit()),
+			Instance: s.GetInstance(),
+			Age:      fromMS(s.GetAgeMs()),
+		})
+		known[s.GetGroup()] = k
 	}
-	return held
+	return known
 }
--- a/core/request/mppermit/group.go
+++ b/core/request/mppermit/group.go
@@ -19,6 +19,7 @@
 	hedgeAt      = 0.95
 	hedgeMinimum = 16
 	alonePart    = 2
+	cancelNotice = 100 * time.Millisecond
 )
 
 // Config describes a group as one view does.
@@ -114,9 +115,15 @@
 	return g.serve(now)
 }
 
-// Register notes that vm uses no permits but the held ones.
-func (g *Group) Register(now time.Time, vm string, held []Held) []Decision {
-	for _, h := range held {
+// Register notes that vm uses no permits but the held ones that k lists.
+// It also takes over what vm remembers of the upstreams.
+func (g *Group) Register(now time.Time, vm string, k Known) []Decision {
+	for _, one := range k.Seen {
+		if s, ok := g.slots[one.Upstream]; ok && g.missing != nil {
+			s.recall(one)
+		}
+	}
+	for _, h := range k.Held {
 		s, ok := g.slots[h.Upstream]
 		if !ok {
 			s = newSlot(Spec{Name: h.Upstream, Limit: 1, Cold: 1, Ramp: 1})
@@ -150,6 +157,7 @@
 	if !g.inService(now, a) {
 		return []Decision{Refuse{a.Attempt, Empty, g.untilService(now)}}
 	}
+	g.doubt(now)
 	if g.queue.waiting(a.Account) == 0 {
 		if s := g.choose(now, a); s != nil && g.isTurn(a) {
 			g.queue.charge(g.queue.flow(a.Account, a.Weight))
@@ -211,6 +219,13 @@
 	delete(g.where, e.Attempt)
 	s := g.slots[name]
 	h := s.held[e.Attempt]
+	if e.End == Cancelled && (h.cold || s.unsure) {
+		// The upstream notices a cancelled attempt a moment later.
+		h.until = now.Add(cancelNotice)
+		s.held[e.Attempt] = h
+		g.where[e.Attempt] = name
+		return g.serve(now)
+	}
 	s.drop(e.Attempt)
 	s.settle(now, e, h)
 	if e.End == Done && e.Took > 0 {
@@ -227,6 +242,13 @@
 	return g.serve(now)
 }
 
+// doubt makes silent upstreams confirm their limits.
+func (g *Group) doubt(now time.Time) {
+	for _, s := range g.slots {
+		s.doubt(now)
+	}
+}
+
 // Tick refuses what waited too long and drops permits that have lapsed.
 func (g *Group) Tick(now time.Time) []Decision {
 	for _, s := range g.slots {
@@ -241,6 +263,7 @@
 	for _, w := range g.queue.remove(func(w waiter) bool { return now.After(w.latest) }) {
 		out = append(out, Refuse{w.ask.Attempt, Late, g.took.median()})
 	}
+	g.doubt(now)
 	g.queue.tidy()
 	return append(out, g.serve(now)...)
 }
@@ -312,7 +335,11 @@
 		g.breach = s.spec.Name
 	}
 	g.hold(s, a.Attempt, h)
-	return Grant{Attempt: a.Attempt, Upstream: s.spec.Name, Hedge: g.took.hedge()}
+	d := Grant{Attempt: a.Attempt, Upstream: s.spec.Name, Hedge: g.took.hedge()}
+	if !s.unsure {
+		d.Limit, d.Instance = s.limit, s.instance
+	}
+	return d
 }
 
 // serve grants to waiting asks as long as any of them finds room.
--- a/core/request/mppermit/random_test.go
+++ b/core/request/mppermit/random_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +31,8 @@
 	upstream string
 	epoch    uint64
 	alone    bool
+	limit    int
+	instance string
 	until    time.Time
 }
 
@@ -54,6 +58,7 @@
 	upstreams map[string]*truth
 	asked     map[Attempt]Ask
 	next      Attempt
+	seen      map[[2]string]Seen
 	granted   int
 	refused   int
 }
@@ -61,7 +66,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, now: time.Unix(100, 0), vms: []string{"vm1", "vm2", "vm3"}, frozen: mpset.Set[string]{},
-		upstreams: map[string]*truth{}, asked: map[Attempt]Ask{},
+		upstreams: map[string]*truth{}, asked: map[Attempt]Ask{}, seen: map[[2]string]Seen{},
 	}
 	for i := range rapid.IntRange(1, 4).Draw(t, "upstreams") {
 		limit := rapid.IntRange(1, 6).Draw(t, "limit")
@@ -90,7 +95,7 @@
 			a := w.answered(d.Attempt)
 			w.begin(attempt{
 				id: d.Attempt, vm: a.VM, upstream: d.Upstream, epoch: w.epoch, alone: a.Alone,
-				until: w.now.Add(testDeadline),
+				until: w.now.Add(testDeadline), limit: d.Limit, instance: d.Instance,
 			})
 		}
 	}
@@ -168,9 +173,12 @@
 	end := rapid.SampledFrom([]End{Done, Done, Done, Failed}).Draw(t, "end")
 	if end == Done {
 		u.wins++
+		if instance := fmt.Sprintf("i%d", u.instance); a.instance == instance {
+			w.seen[[2]string{a.vm, a.upstream}] = Seen{Upstream: a.upstream, Limit: a.limit, Instance: instance}
+		}
 	}
 	w.take(w.group.Settle(w.now, Settlement{
-		Attempt: a.id, End: end, Took: 50 * time.Millisecond, Instance: fmt.Sprint(u.instance),
+		Attempt: a.id, End: end, Took: 50 * time.Millisecond, Instance: fmt.Sprintf("i%d", u.instance),
 	}))
 }
 
@@ -205,7 +213,7 @@
 	w.group = NewGroup(w.now, cfg)
 	for _, vm := range w.vms {
 		if !w.frozen.Has(vm) {
-			w.take(w.group.Register(w.now, vm, w.heldBy(vm)))
+			w.take(w.group.Register(w.now, vm, Known{w.heldBy(vm), w.seenBy(vm)}))
 		}
 	}
 }
@@ -222,6 +230,32 @@
 	return list
 }
 
+// seenBy returns what vm remembers; some of it is out of date.
+func (w *world) seenBy(vm string) []Seen {
+	var list []Seen
+	for key, seen := range w.seen {
+		if key[0] == vm {
+			list = append(list, seen)
+		}
+	}
+	slices.SortFunc(list, func(a, b Seen) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return list
+}
+
+// restart replaces an idle upstream's process, which nobody sees.
+func (w *world) restart(t *rapid.T) {
+	name := rapid.SampledFrom(w.specs).Draw(t, "upstream").Name
+	u := w.upstreams[name]
+	if len(u.running) > 0 {
+		return
+	}
+	w.advance(quietLimit + time.Millisecond)
+	if len(u.running) == 0 {
+		u.instance++
+		u.wins = 0
+	}
+}
+
 // wait lets time pass; attempts end with their deadlines.
 func (w *world) wait(t *rapid.T) {
 	w.advance(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
@@ -243,7 +277,7 @@
 func (w *world) thaw(*rapid.T) {
 	for vm := range w.frozen {
 		delete(w.frozen, vm)
-		w.take(w.group.Register(w.now, vm, w.heldBy(vm)))
+		w.take(w.group.Register(w.now, vm, Known{w.heldBy(vm), w.seenBy(vm)}))
 	}
 }
 
@@ -260,6 +294,7 @@
 			"finish":  w.finish,
 			"finish2": w.finish,
 			"crash":   w.crash,
+			"restart": w.restart,
 			"wait":    w.wait,
 			"pass":    w.pass,
 			"freeze":  func(t *rapid.T) { w.frozen.Add(rapid.SampledFrom(w.vms).Draw(t, "vm")) },
--- a/core/request/mppermit/slot.go
+++ b/core/request/mppermit/slot.go
@@ -9,6 +9,9 @@
 	slowFactor      = 4
 	slowStreak      = 3
 	tookWeight      = 0.1
+	// quietLimit is how long an upstream may be silent before its limit must be
+	// confirmed: it may have restarted meanwhile without anyone noticing.
+	quietLimit = 500 * time.Millisecond
 )
 
 // slot is what the owner knows of one upstream.
@@ -24,8 +27,13 @@
 	held     map[Attempt]hold
 	alone    bool
 	reserved bool
-	took     time.Duration
-	slow     int
+	// unsure holds the limit back to Cold until an answer of the same instance
+	// confirms it.
+	unsure  bool
+	heard   time.Time
+	seenAge time.Duration
+	took    time.Duration
+	slow    int
 }
 
 type hold struct {
@@ -51,8 +59,11 @@
 
 // capacity returns how many attempts the upstream may have now.
 func (s *slot) capacity() int {
-	if s.probing {
+	switch {
+	case s.probing:
 		return 1
+	case s.unsure:
+		return min(s.spec.Cold, s.limit)
 	}
 	return s.limit
 }
@@ -65,6 +76,7 @@
 func (s *slot) isWarm() bool { return s.limit >= s.spec.Limit }
 
 func (s *slot) turnCold() {
+	s.unsure = false
 	s.limit = s.spec.Cold
 	s.wins = 0
 	s.slow = 0
@@ -80,7 +92,30 @@
 	s.turnCold()
 }
 
+// doubt makes the next attempts confirm the limit after a time of silence.
+func (s *slot) doubt(now time.Time) {
+	if len(s.held) == 0 && s.limit > s.spec.Cold && now.Sub(s.heard) > quietLimit {
+		s.unsure = true
+	}
+}
+
+// recall takes over what another VM remembers. It counts only once an answer
+// of the same instance has confirmed it.
+func (s *slot) recall(seen Seen) {
+	known := s.instance != "" && !s.unsure
+	if known || seen.Instance == "" || s.unsure && seen.Age >= s.seenAge {
+		return
+	}
+	s.instance = seen.Instance
+	s.limit = max(min(seen.Limit, s.spec.Limit), s.spec.Cold)
+	s.seenAge = seen.Age
+	s.unsure = s.limit > s.spec.Cold
+}
+
 func (s *slot) settle(now time.Time, e Settlement, h hold) {
+	if e.End == Done {
+		s.heard = now
+	}
 	if e.Instance != "" && s.instance != "" && e.Instance != s.instance {
 		s.turnCold()
 	}
@@ -113,6 +148,7 @@
 	s.failures = 0
 	s.opens = 0
 	s.probing = false
+	s.unsure = false
 	if s.noteTook(e.Took) {
 		s.turnCold()
 		return
--- a/core/request/mppermit/types.go
+++ b/core/request/mppermit/types.go
@@ -62,6 +62,10 @@
 	Upstream string
 	// Hedge is when a second attempt is worth its cost; 0 for never.
 	Hedge time.Duration
+	// Limit is what the upstream bears, as far as the owner knows, when its
+	// process is Instance. An unconfirmed limit is not told.
+	Limit    int
+	Instance string
 }
 
 // Refuse denies a permit.
@@ -112,6 +116,21 @@
 	Alone    bool
 }
 
+// Seen is what a VM remembers of an upstream, for an owner that does not.
+type Seen struct {
+	Upstream string
+	Limit    int
+	Instance string
+	// Age is how long ago the instance answered.
+	Age time.Duration
+}
+
+// Known is what a VM tells the new owner of one group.
+type Known struct {
+	Held []Held
+	Seen []Seen
+}
+
 // Spec is an upstream as the view describes it.
 type Spec struct {
 	Name  string
