mpsoak: Run real processes under random faults

Kills, freezes, graceful leaving, lost disks, one-way and two-way cuts, upstream crashes, data centres out and in, poison requests and racing operators, alone and two at once; callers' outcomes are compared with the fakes' ledgers, the accepted changes with the audit trail. Processes run strict, so a breach of an invariant inside the program ends them and fails the run.

--- a/core/connection/mppeer/client.go
+++ b/core/connection/mppeer/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -28,18 +29,31 @@
 	pingTimeout   = 2 * time.Second
 )
 
+// Config sets a Client.
+type Config struct {
+	// Secret is the deployment's, by which peers know each other.
+	Secret string
+	// Source is the IP number to call from; the system chooses when nil.
+	Source net.IP
+}
+
 // Client holds one connection to each peer that was ever called. It is safe
 // for concurrent use.
 type Client struct {
-	secret string
+	cfg    Config
+	dialer net.Dialer
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewClient returns a client that authenticates with the deployment's secret.
-func NewClient(secret string) *Client {
-	return &Client{secret: secret, conns: map[string]*grpc.ClientConn{}}
+// NewClient returns a client without connections.
+func NewClient(cfg Config) *Client {
+	c := &Client{cfg: cfg, conns: map[string]*grpc.ClientConn{}}
+	if cfg.Source != nil {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: cfg.Source}
+	}
+	return c
 }
 
 // To returns the stub for the peer at address.
@@ -67,6 +81,9 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithUnaryInterceptor(c.authenticate),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return c.dialer.DialContext(ctx, "tcp", address)
+		}),
 	)
 }
 
@@ -74,7 +91,7 @@
 	ctx context.Context, method string, req, reply any, conn *grpc.ClientConn,
 	invoke grpc.UnaryInvoker, opts ...grpc.CallOption,
 ) error {
-	ctx = metadata.AppendToOutgoingContext(ctx, secretKey, c.secret)
+	ctx = metadata.AppendToOutgoingContext(ctx, secretKey, c.cfg.Secret)
 	return invoke(ctx, method, req, reply, conn, opts...)
 }
 
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -81,7 +81,7 @@
 		cfg:     cfg,
 		boot:    rand.Uint64() | 1,
 		metrics: mpmetric.New(),
-		client:  mppeer.NewClient(s.Secret),
+		client:  mppeer.NewClient(mppeer.Config{Secret: s.Secret, Source: s.Source()}),
 		door:    mpadmit.New(mpadmit.Config{Requests: s.Requests}),
 	}
 	d.member = mpmember.New(mpmember.Config{
@@ -190,7 +190,7 @@
 	defer cancel()
 	mphttp.UseLogger(d.cfg.Logger)
 	var err error
-	if d.peers, err = mppeer.Serve(d.cfg.Settings.Peer, d.cfg.Settings.Secret, &peer{d: d}); err != nil {
+	if d.peers, err = mppeer.Serve(d.cfg.Settings.Listen(), d.cfg.Settings.Secret, &peer{d: d}); err != nil {
 		return err
 	}
 	defer d.peers.Stop()
--- a/core/process/mpsettings/mpsettings.go
+++ b/core/process/mpsettings/mpsettings.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"net/url"
 	"os"
@@ -49,15 +50,18 @@
 
 // Settings are those of one process. Times are in ms, sizes in bytes.
 type Settings struct {
-	VM       string  `json:"vm"`
-	DC       string  `json:"dc"`
-	Caller   string  `json:"caller"`
-	Operator string  `json:"operator"`
-	Peer     string  `json:"peer"`
-	Voters   []Voter `json:"voters"`
-	Data     string  `json:"data,omitempty"`
-	Secret   string  `json:"secret"`
-	Tokens   []Token `json:"tokens"`
+	VM       string `json:"vm"`
+	DC       string `json:"dc"`
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+	Peer     string `json:"peer"`
+	// Bind is where the process listens for peers when that differs from Peer,
+	// the address that it tells them.
+	Bind   string  `json:"bind,omitempty"`
+	Voters []Voter `json:"voters"`
+	Data   string  `json:"data,omitempty"`
+	Secret string  `json:"secret"`
+	Tokens []Token `json:"tokens"`
 	// Lease must be the same at all voters.
 	Lease    int    `json:"lease,omitempty"`
 	Election int    `json:"election,omitempty"`
@@ -80,6 +84,23 @@
 	return time.Duration(s.Election) * time.Millisecond
 }
 
+// Listen returns where the process listens for peers.
+func (s Settings) Listen() string {
+	if s.Bind != "" {
+		return s.Bind
+	}
+	return s.Peer
+}
+
+// Source returns the IP number from which the process calls its peers.
+func (s Settings) Source() net.IP {
+	a, err := netip.ParseAddrPort(s.Listen())
+	if err != nil || a.Addr().IsUnspecified() {
+		return nil
+	}
+	return a.Addr().AsSlice()
+}
+
 // IsVoter reports whether this VM holds replicated state.
 func (s Settings) IsVoter() bool {
 	for _, v := range s.Voters {
@@ -216,6 +237,9 @@
 	c.address("caller", s.Caller)
 	c.address("operator", s.Operator)
 	c.address("peer", s.Peer)
+	if s.Bind != "" {
+		c.address("bind", s.Bind)
+	}
 	s.checkVoters(&c)
 	if len(s.Secret) < leastSecret {
 		c.add("secret", fmt.Sprintf("%d characters long", len(s.Secret)), "16 characters or more, the same at all VMs")
--- a/mustardfake/internal/mpfake/ledger.go
+++ b/mustardfake/internal/mpfake/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"regexp"
 	"sync"
+	"time"
 )
 
 var tagPattern = regexp.MustCompile(`#[0-9a-f]{16}`)
@@ -16,11 +17,12 @@
 	runs    map[string]int
 	overrun int
 	crashes map[string]int
+	last    map[string]int64
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{runs: map[string]int{}, crashes: map[string]int{}}
+	return &Ledger{runs: map[string]int{}, crashes: map[string]int{}, last: map[string]int64{}}
 }
 
 // Report is a copy of a ledger.
@@ -31,11 +33,14 @@
 	Overrun int `json:"overrun"`
 	// Crashes counts crashes by upstream.
 	Crashes map[string]int `json:"crashes"`
+	// Last is when each upstream last got an attempt, in ms since the Unix epoch.
+	Last map[string]int64 `json:"last"`
 }
 
-func (l *Ledger) ran(kind, tag string) {
+func (l *Ledger) ran(now time.Time, upstream, kind, tag string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.last[upstream] = now.UnixMilli()
 	l.runs[kind+"/"+tag]++
 }
 
@@ -55,7 +60,10 @@
 func (l *Ledger) Report() Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := Report{Runs: map[string]int{}, Overrun: l.overrun, Crashes: map[string]int{}}
+	r := Report{Runs: map[string]int{}, Overrun: l.overrun, Crashes: map[string]int{}, Last: map[string]int64{}}
+	for k, at := range l.last {
+		r.Last[k] = at
+	}
 	for k, n := range l.runs {
 		r.Runs[k] = n
 	}
--- a/mustardfake/internal/mpfake/upstream.go
+++ b/mustardfake/internal/mpfake/upstream.go
@@ -135,7 +135,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		u.ledger.ran(string(u.cfg.Kind), tagOf(body))
+		u.ledger.ran(time.Now(), u.cfg.Name, string(u.cfg.Kind), tagOf(body))
 		if strings.Contains(string(body), poison) {
 			u.Crash()
 			return
--- a/mustardfake/internal/mpsample/write.go
+++ b/mustardfake/internal/mpsample/write.go
@@ -20,10 +20,12 @@
 	Token  = "sample-operator-token"
 	secret = "sample-secret-of-the-peers"
 
-	portsPerVM   = 3
+	portsPerVM   = 4
+	relayFrom    = 11
 	callerPort   = 0
 	operatorPort = 1
 	peerPort     = 2
+	bindPort     = 3
 	fakesFrom    = 200
 	controlPort  = 199
 	fileMode     = 0o600
@@ -33,6 +35,10 @@
 type Options struct {
 	// Port is the first port to use; a sample takes fewer than 400.
 	Port int
+	// Relay puts each VM on an IP number of its own, and lets it listen for
+	// peers one port above the address that it tells them, so that a relay can
+	// stand between.
+	Relay bool
 	// Strict stops processes on a breach of an invariant.
 	Strict bool
 	// Baseline selects the baseline policies.
@@ -120,6 +126,11 @@
 			Strict:   o.Strict,
 			Baseline: o.Baseline,
 		}
+		if o.Relay {
+			own := fmt.Sprintf("127.0.0.%d", relayFrom+i)
+			list[i].Peer = fmt.Sprintf("%s:%d", own, port+peerPort)
+			list[i].Bind = fmt.Sprintf("%s:%d", own, port+bindPort)
+		}
 		if i < s.voters {
 			list[i].Data = filepath.Join(dir, "data", vm)
 			voters = append(voters, mpsettings.Voter{VM: vm, Peer: list[i].Peer})
--- /dev/null
+++ b/mustardfake/internal/mpsoak/faults_test.go
@@ -0,0 +1,237 @@
+package mpsoak
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mpview"
+)
+
+// fault draws one fault, or two at once, carries it out and ends it.
+func (w *world) fault() {
+	kinds := []struct {
+		name string
+		run  func() (undo func())
+	}{
+		{"kill", w.kill},
+		{"freeze", w.freeze},
+		{"leave", w.leave},
+		{"lose disk", w.loseDisk},
+		{"cut", w.cutOff},
+		{"crash upstream", w.crashUpstream},
+		{"data centre out", w.takeOut},
+		{"poison", w.poison},
+		{"race", w.race},
+	}
+	one := kinds[w.rand.IntN(len(kinds))]
+	w.faults[one.name]++
+	undo := one.run()
+	if w.rand.IntN(3) == 0 {
+		two := kinds[w.rand.IntN(2)]
+		w.faults[one.name+" and "+two.name]++
+		second := two.run()
+		w.pause(1000, 3000)
+		second()
+	}
+	w.pause(500, 2500)
+	undo()
+	w.pause(500, 1500)
+}
+
+// pause lets a random time pass, in ms.
+func (w *world) pause(least, most int) {
+	time.Sleep(time.Duration(least+w.rand.IntN(most-least)) * time.Millisecond)
+}
+
+// victim returns a VM that may be disturbed: a minority of the voters at most
+// is down or frozen at a time.
+func (w *world) victim() *process {
+	disturbed := 0
+	for _, p := range w.vms {
+		if p.voter && (!p.wanted || p.frozen) {
+			disturbed++
+		}
+	}
+	for {
+		p := w.vms[w.rand.IntN(len(w.vms))]
+		if !p.wanted || p.frozen || p.voter && disturbed >= (w.voters()-1)/2 {
+			continue
+		}
+		return p
+	}
+}
+
+func nothing() {}
+
+func (w *world) kill() func() {
+	p := w.victim()
+	w.end(p, syscall.SIGKILL)
+	return func() { w.start(p) }
+}
+
+func (w *world) freeze() func() {
+	p := w.victim()
+	p.frozen = true
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	return func() { w.thaw(p) }
+}
+
+func (w *world) thaw(p *process) {
+	if p.frozen {
+		p.frozen = false
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+func (w *world) leave() func() {
+	p := w.victim()
+	w.end(p, syscall.SIGTERM)
+	return func() { w.start(p) }
+}
+
+// loseDisk deletes the data folder of a voter, when all others vote, and waits
+// until its replacement does.
+func (w *world) loseDisk() func() {
+	if w.votersUp() != w.voters() {
+		return nothing
+	}
+	p := w.vms[w.rand.IntN(len(w.vms))]
+	for !p.voter || !p.wanted || p.frozen {
+		p = w.vms[w.rand.IntN(len(w.vms))]
+	}
+	w.end(p, syscall.SIGKILL)
+	if err := os.RemoveAll(p.data); err != nil {
+		w.breach("remove data folder: %v", err)
+	}
+	w.start(p)
+	return func() {
+		w.await(settleIn, p.vm+" votes again after it lost its disk", func() bool { return w.votersUp() == w.voters() })
+	}
+}
+
+// cutOff isolates a VM from all others, in one direction or both.
+func (w *world) cutOff() func() {
+	p := w.victim()
+	way := w.rand.IntN(3)
+	for _, other := range w.vms {
+		if other == p {
+			continue
+		}
+		if way != 0 {
+			w.cuts.cut(p.ip, other.ip)
+		}
+		if way != 1 {
+			w.cuts.cut(other.ip, p.ip)
+		}
+	}
+	w.pause(1000, 4000)
+	return w.cuts.heal
+}
+
+func (w *world) crashUpstream() func() {
+	u := w.layout.Upstreams[w.rand.IntN(len(w.layout.Upstreams))]
+	resp, err := w.http.Post("http://"+w.layout.Control+"/crash/"+u.Name, "", nil)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return nothing
+}
+
+// takeOut takes a data centre out and checks that its upstreams get no new
+// attempt once the bound has passed.
+func (w *world) takeOut() func() {
+	dc := w.layout.DCs[w.rand.IntN(len(w.layout.DCs))]
+	id := fmt.Sprintf("out-%d", w.rand.Uint64())
+	mark := mpview.Mark{Target: mpview.TargetDC, Name: dc, Out: true}
+	_, code := w.change(mpoperator.Change{ID: id, Mark: &mark})
+	if code != http.StatusOK {
+		return nothing
+	}
+	w.outs++
+	bound := time.Now().Add(leaseBound).UnixMilli()
+	time.Sleep(leaseBound)
+	return func() {
+		if r, ok := w.ledger(); ok {
+			for _, u := range w.layout.Upstreams {
+				if u.DC == dc && r.Last[u.Name] > bound {
+					w.breach("%s in %s got an attempt %d ms after the bound", u.Name, dc, r.Last[u.Name]-bound)
+				}
+			}
+		}
+		w.await(settleIn, dc+" is taken in again", func() bool {
+			mark.Out = false
+			_, code := w.change(mpoperator.Change{ID: fmt.Sprintf("in-%d", w.rand.Uint64()), Mark: &mark})
+			return code == http.StatusOK
+		})
+	}
+}
+
+// poison sends a request that crashes each upstream that runs it, again and
+// again through different VMs, and counts the upstreams lost to it.
+func (w *world) poison() func() {
+	w.poisons++
+	tag := fmt.Sprintf("#%016x", w.rand.Uint64())
+	body := []byte(fmt.Sprintf(`{"input":"crash-the-engine %s","max":4}`, tag))
+	answers := []string{}
+	for range 6 {
+		p := w.layout.VMs[w.rand.IntN(len(w.layout.VMs))]
+		req, err := http.NewRequest(http.MethodPost, "http://"+p.Caller+"/v1/entries/rules", bytes.NewReader(body))
+		if err != nil {
+			w.breach("poison: %v", err)
+			return nothing
+		}
+		req.Header.Set("Authorization", "Bearer "+w.layout.Profile.Accounts[0].Key)
+		resp, err := w.http.Do(req)
+		if err != nil {
+			continue
+		}
+		answers = append(answers, fmt.Sprint(resp.StatusCode))
+		_ = resp.Body.Close()
+	}
+	if r, ok := w.ledger(); ok {
+		ran := 0
+		for _, kind := range []string{"encode", "retrieve", "rerank", "generate"} {
+			ran += r.Runs[kind+"/"+tag]
+		}
+		if ran > mpview.StrikesToConvict {
+			w.breach("poison request %s crashed %d upstreams, answers %v", tag, ran, answers)
+		}
+	}
+	return nothing
+}
+
+// race lets two operators change the same row from the same revision.
+func (w *world) race() func() {
+	s, ok := w.status()
+	if !ok {
+		return nothing
+	}
+	base := s.Revision
+	codes := make(chan int, 2)
+	ids := []string{fmt.Sprintf("race-%d", w.rand.Uint64()), fmt.Sprintf("race-%d", w.rand.Uint64())}
+	at := []int{w.rand.IntN(len(w.vms)), w.rand.IntN(len(w.vms))}
+	for i, id := range ids {
+		put := mpcatalogue.Document{Classes: []mpcatalogue.Class{{Name: "raced", Deadline: 1000 + i + int(base)}}}
+		c := mpoperator.Change{ID: id, Base: base, Edit: &mpcatalogue.Edit{Put: put}}
+		go func() {
+			var out mpoperator.Accepted
+			code, err := w.ask(at[i], http.MethodPost, "/v1/changes", c, &out)
+			if err == nil && code == http.StatusOK {
+				w.mu.Lock()
+				w.changes[id] = out.Revision
+				w.mu.Unlock()
+			}
+			codes <- code
+		}()
+	}
+	if <-codes+<-codes == 2*http.StatusOK {
+		w.breach("two operators changed a row from revision %d", base)
+	}
+	return nothing
+}
