mphttp: Notice callers that have gone, and say why a request is refused

Cause 1: nbhttp delivers a connection's close event behind the running handler, so a caller that went away kept its permit until the deadline. Cause 2: a body over the limit closed the connection without an answer (EOF). It is now answered 413 with its outcome; what else comes is dropped for half a second, so that the answer is not lost to a reset.

--- a/core/connection/mpcaller/mpcaller.go
+++ b/core/connection/mpcaller/mpcaller.go
@@ -88,6 +88,14 @@
 	return mux
 }
 
+// Refusal returns the headers of an answer to a request that cannot be parsed.
+func Refusal() http.Header {
+	h := http.Header{}
+	h.Set(OutcomeHeader, string(mppipeline.NotRun))
+	h.Set(CauseHeader, "body")
+	return h
+}
+
 // OnView notes when this VM's data centre or the VM itself is taken out.
 func (c *Caller) OnView(now time.Time, _, next *mpview.View) {
 	c.mu.Lock()
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -134,7 +134,12 @@
 		OnOverload: d.noteOverload,
 	})
 	d.callers = mphttp.New(mphttp.Config{
-		Name: "caller", Address: s.Caller, Handler: d.caller.Handler(), MaxBody: s.Body, Logger: d.cfg.Logger,
+		Name:    "caller",
+		Address: s.Caller,
+		Handler: d.caller.Handler(),
+		MaxBody: s.Body,
+		Refusal: mpcaller.Refusal(),
+		Logger:  d.cfg.Logger,
 	})
 	operator := mpoperator.New(mpoperator.Config{
 		VM:         s.VM,
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -4,16 +4,19 @@
 package mphttp
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -25,6 +28,10 @@
 	readExtra  = 64 << 10
 	shardCount = 64
 	maxOnline  = 20_000
+	sweepEvery = 50 * time.Millisecond
+	// drainFor is how long a caller has to read why its request was refused
+	// while it still sends.
+	drainFor = 500 * time.Millisecond
 )
 
 // Config holds what a Server needs from outside.
@@ -34,19 +41,28 @@
 	Handler http.Handler
 	// MaxBody bounds a request's body in bytes.
 	MaxBody int
+	// Refusal is added to the answer to a request that cannot be parsed.
+	Refusal http.Header
 	Logger  log.Logger
 }
 
-type connections struct {
+// requests are those being served, in one shard.
+type requests struct {
 	mu   sync.Mutex
-	live map[net.Conn]map[uint64]context.CancelFunc
+	live map[uint64]request
+}
+
+type request struct {
+	conn   *nbio.Conn
+	cancel context.CancelFunc
 }
 
 // Server is one listening address.
 type Server struct {
 	cfg     Config
 	engine  *nbhttp.Engine
-	shards  [shardCount]connections
+	shards  [shardCount]requests
+	quit    chan struct{}
 	next    atomic.Uint64
 	running atomic.Int64
 	leaving atomic.Bool
@@ -54,9 +70,9 @@
 
 // New returns a server that is not started yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, quit: make(chan struct{})}
 	for i := range s.shards {
-		s.shards[i].live = map[net.Conn]map[uint64]context.CancelFunc{}
+		s.shards[i].live = map[uint64]request{}
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:                    cfg.Name,
@@ -70,13 +86,17 @@
 		ReleaseWebsocketPayload: true,
 		ServerExecutor:          func(f func()) { go f() },
 	})
-	s.engine.OnClose(func(c net.Conn, _ error) { s.closed(c) })
+	s.engine.Engine.OnData(s.receive)
 	return s
 }
 
 // Start listens at the configured address.
 func (s *Server) Start() error {
-	return mperror.Wrap(s.engine.Start(), "%s address %s", s.cfg.Name, s.cfg.Address)
+	if err := s.engine.Start(); err != nil {
+		return mperror.Wrap(err, "%s address %s", s.cfg.Name, s.cfg.Address)
+	}
+	go s.sweep()
+	return nil
 }
 
 // Leave makes all further answers ask the caller to close the connection.
@@ -86,7 +106,49 @@
 func (s *Server) Running() int { return int(s.running.Load()) }
 
 // Stop closes the address and all connections.
-func (s *Server) Stop() { s.engine.Stop() }
+func (s *Server) Stop() {
+	close(s.quit)
+	s.engine.Stop()
+}
+
+// receive parses what came over a connection. A request that cannot be parsed
+// is told why before its connection is closed; what else it sends is dropped.
+func (s *Server) receive(c *nbio.Conn, data []byte) {
+	parser, ok := c.Session().(nbhttp.ParserCloser)
+	if !ok {
+		return
+	}
+	err := parser.Parse(data)
+	if err == nil {
+		return
+	}
+	parser.CloseAndClean(err)
+	c.SetSession(refused{})
+	status := http.StatusBadRequest
+	if errors.Is(err, nbhttp.ErrTooLong) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	_, _ = c.Write(s.refusal(status))
+	time.AfterFunc(drainFor, func() { _ = c.CloseWithError(err) })
+}
+
+func (s *Server) refusal(status int) []byte {
+	text := http.StatusText(status)
+	header := s.cfg.Refusal.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Connection", "close")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, text)
+	_ = header.Write(&b)
+	b.WriteString("\r\n" + text)
+	return b.Bytes()
+}
+
+// refused is the session of a connection whose request could not be parsed.
+type refused struct{}
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
@@ -99,50 +161,64 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
-		conn := res.Parser.Conn
+	if conn, ok := connOf(w); ok {
 		id := s.next.Add(1)
-		s.open(conn, id, cancel)
-		defer s.done(conn, id)
+		sh := &s.shards[id%shardCount]
+		sh.add(id, request{conn, cancel})
+		defer sh.remove(id)
 	}
 	s.cfg.Handler.ServeHTTP(w, r.WithContext(ctx))
 }
 
-func (s *Server) shard(c net.Conn) *connections {
-	port := 0
-	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
-		port = a.Port
+func connOf(w http.ResponseWriter) (*nbio.Conn, bool) {
+	res, ok := w.(*nbhttp.Response)
+	if !ok || res.Parser == nil {
+		return nil, false
 	}
-	return &s.shards[port%shardCount]
+	conn := res.Parser.Conn
+	if wrapped, ok := conn.(*nbhttp.Conn); ok {
+		conn = wrapped.Conn
+	}
+	c, ok := conn.(*nbio.Conn)
+	return c, ok
 }
 
-func (s *Server) open(c net.Conn, id uint64, cancel context.CancelFunc) {
-	sh := s.shard(c)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if sh.live[c] == nil {
-		sh.live[c] = map[uint64]context.CancelFunc{}
-	}
-	sh.live[c][id] = cancel
+func (r *requests) add(id uint64, one request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.live[id] = one
+}
+
+func (r *requests) remove(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.live, id)
 }
 
-func (s *Server) done(c net.Conn, id uint64) {
-	sh := s.shard(c)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	delete(sh.live[c], id)
-	if len(sh.live[c]) == 0 {
-		delete(sh.live, c)
+// sweep cancels the requests whose connections are closed. The engine's own
+// close event waits behind the running handler, and so comes too late.
+func (s *Server) sweep() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.quit:
+			return
+		case <-t.C:
+		}
+		for i := range s.shards {
+			s.shards[i].cancelClosed()
+		}
 	}
 }
 
-// closed ends the requests of a connection that is gone.
-func (s *Server) closed(c net.Conn) {
-	sh := s.shard(c)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	for _, cancel := range sh.live[c] {
-		cancel()
+func (r *requests) cancelClosed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range r.live {
+		if closed, _ := one.conn.IsClosed(); closed {
+			one.cancel()
+		}
 	}
 }
 
--- a/core/request/mpattempt/broker.go
+++ b/core/request/mpattempt/broker.go
@@ -45,6 +45,11 @@
 	instance string
 }
 
+// NewPermit returns a permit for attempt a on an upstream of group.
+func NewPermit(a mppermit.Attempt, group, upstream string) Permit {
+	return Permit{attempt: a, group: group, upstream: upstream}
+}
+
 // Attempt returns the id under which the attempt must travel.
 func (p Permit) Attempt() mppermit.Attempt { return p.attempt }
 
