--- a/core/connection/mpoperator/mpoperator.go
+++ b/core/connection/mpoperator/mpoperator.go
@@ -70,6 +70,8 @@
 	mux.HandleFunc("GET /v1/catalogue", o.catalogue)
 	mux.HandleFunc("POST /v1/changes", o.change)
 	mux.HandleFunc("GET /v1/audit", o.audit)
+	mux.HandleFunc("POST /v1/orders", o.order)
+	mux.HandleFunc("GET /v1/orders", o.orders)
 	mux.HandleFunc("GET /v1/status", o.status)
 	mux.HandleFunc("GET /v1/upstreams", o.upstreams)
 	mux.Handle("GET /debug/vars", expvar.Handler())
@@ -211,6 +213,14 @@
 		After: number(r, "after", 0),
 		Limit: uint32(min(number(r, "limit", auditDefault), auditMost)),
 	}
+	o.answerFromLeader(w, r, req)
+}
+
+func (o *Operator) orders(w http.ResponseWriter, r *http.Request) {
+	o.answerFromLeader(w, r, &mpwire.QueryRequest{Kind: mpwire.QueryRequest_ORDERS})
+}
+
+func (o *Operator) answerFromLeader(w http.ResponseWriter, r *http.Request, req *mpwire.QueryRequest) {
 	for _, address := range o.cfg.Voters {
 		if out := o.query(r.Context(), address, req); len(out) > 0 {
 			write(w, http.StatusOK, json.RawMessage(out))
@@ -220,6 +230,34 @@
 	write(w, http.StatusServiceUnavailable, Failure{"leader", "the leader did not answer"})
 }
 
+// Fenced is the answer to an accepted order.
+type Fenced struct {
+	Fence uint64 `json:"fence"`
+}
+
+func (o *Operator) order(w http.ResponseWriter, r *http.Request) {
+	var c mpstate.Order
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil || c.ID == "" {
+		write(w, http.StatusBadRequest, Failure{"invalid", "an order has id, upstream, action and name"})
+		return
+	}
+	c.Who, _ = r.Context().Value(whoKey{}).(string)
+	ctx, cancel := context.WithTimeout(r.Context(), commitWithin)
+	defer cancel()
+	reply, err := o.cfg.Proposer.Propose(ctx, c, 0)
+	if err == nil {
+		err = reply.Result.Err()
+	}
+	if err != nil {
+		status, code := statusOf(err)
+		write(w, status, Failure{code, err.Error()})
+		return
+	}
+	write(w, http.StatusOK, Fenced{reply.Result.Revision})
+}
+
 func (o *Operator) query(ctx context.Context, address string, req *mpwire.QueryRequest) []byte {
 	peer, err := o.cfg.Client.To(address)
 	if err != nil {
--- a/core/connection/mppeer/client.go
+++ b/core/connection/mppeer/client.go
@@ -17,6 +17,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpmetric"
 )
 
 const (
@@ -35,6 +36,8 @@
 	Secret string
 	// Source is the IP number to call from; the system chooses when nil.
 	Source net.IP
+	// Metrics counts the calls and their bytes.
+	Metrics *mpmetric.Set
 }
 
 // Client holds one connection to each peer that was ever called. It is safe
@@ -81,6 +84,7 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithUnaryInterceptor(c.authenticate),
+		grpc.WithStatsHandler(traffic{c.cfg.Metrics}),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return c.dialer.DialContext(ctx, "tcp", address)
 		}),
--- a/core/connection/mppeer/server.go
+++ b/core/connection/mppeer/server.go
@@ -14,6 +14,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpmetric"
 )
 
 // Server is the gRPC side of a VM's peer address.
@@ -21,18 +22,29 @@
 	grpc *grpc.Server
 }
 
-// Serve listens at address and serves peer to callers that know secret.
-func Serve(address, secret string, peer mpwire.PeerServer) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+// ServerConfig sets a Server.
+type ServerConfig struct {
+	// Address is where to listen.
+	Address string
+	Secret  string
+	Peer    mpwire.PeerServer
+	// Metrics counts the calls and their bytes.
+	Metrics *mpmetric.Set
+}
+
+// Serve listens and serves callers that know the secret.
+func Serve(cfg ServerConfig) (*Server, error) {
+	l, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
-		return nil, mperror.Wrap(err, "peer address %s", address)
+		return nil, mperror.Wrap(err, "peer address %s", cfg.Address)
 	}
 	s := &Server{grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
-		grpc.UnaryInterceptor(authorize(secret)),
+		grpc.UnaryInterceptor(authorize(cfg.Secret)),
+		grpc.StatsHandler(traffic{cfg.Metrics}),
 	)}
-	mpwire.RegisterPeerServer(s.grpc, peer)
+	mpwire.RegisterPeerServer(s.grpc, cfg.Peer)
 	go func() { _ = s.grpc.Serve(l) }()
 	return s, nil
 }
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -22,6 +22,7 @@
 	"mustardpost.org/core/process/mphttp"
 	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/process/mporder"
 	"mustardpost.org/core/process/mpowner"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/process/mpreplica"
@@ -37,8 +38,10 @@
 const (
 	heartbeatPart = 5
 	retryRatio    = 0.08
-	operatorBody  = 16 << 20
-	noteWithin    = 5 * time.Second
+	// unboundedRatio is that of the baseline, which retries without a budget.
+	unboundedRatio = 4.0
+	operatorBody   = 16 << 20
+	noteWithin     = 5 * time.Second
 )
 
 // Config holds what a Daemon needs from outside.
@@ -81,9 +84,9 @@
 		cfg:     cfg,
 		boot:    rand.Uint64() | 1,
 		metrics: mpmetric.New(),
-		client:  mppeer.NewClient(mppeer.Config{Secret: s.Secret, Source: s.Source()}),
 		door:    mpadmit.New(mpadmit.Config{Requests: s.Requests}),
 	}
+	d.client = mppeer.NewClient(mppeer.Config{Secret: s.Secret, Source: s.Source(), Metrics: d.metrics})
 	d.member = mpmember.New(mpmember.Config{
 		Self:   mpview.VM{Name: s.VM, DC: s.DC, Boot: d.boot, Address: s.Caller, Peer: s.Peer},
 		Voters: s.VoterPeers(),
@@ -110,18 +113,22 @@
 
 func (d *Daemon) assembleServers() {
 	s := d.cfg.Settings
+	permits, ratio := mppipeline.Permits(d.broker), retryRatio
+	if s.Baseline {
+		permits, ratio = mpattempt.NewBaseline(d.member), unboundedRatio
+	}
 	runner := mppipeline.New(mppipeline.Config{
 		VM:         s.VM,
 		DC:         s.DC,
 		Boot:       d.boot,
-		Permits:    d.broker,
+		Permits:    permits,
 		Upstreams:  mpupstream.New(),
 		Proposer:   d.proposer,
 		Membership: d.member,
 		Metrics:    d.metrics,
 		Logger:     d.cfg.Logger,
 		Clock:      time.Now,
-		RetryRatio: retryRatio,
+		RetryRatio: ratio,
 	})
 	d.caller = mpcaller.New(mpcaller.Config{
 		VM:         s.VM,
@@ -195,7 +202,13 @@
 	defer cancel()
 	mphttp.UseLogger(d.cfg.Logger)
 	var err error
-	if d.peers, err = mppeer.Serve(d.cfg.Settings.Listen(), d.cfg.Settings.Secret, &peer{d: d}); err != nil {
+	d.peers, err = mppeer.Serve(mppeer.ServerConfig{
+		Address: d.cfg.Settings.Listen(),
+		Secret:  d.cfg.Settings.Secret,
+		Peer:    &peer{d: d},
+		Metrics: d.metrics,
+	})
+	if err != nil {
 		return err
 	}
 	defer d.peers.Stop()
@@ -285,6 +298,7 @@
 	d.voter.Store(v)
 	go mpvoter.Enroll(ctx, vcfg, id, v.replica)
 	go v.lead.Run(ctx)
+	go mporder.New(mporder.Config{Machine: v.machine, Lead: v.lead, Logger: d.cfg.Logger}).Run(ctx)
 	return v, nil
 }
 
--- a/core/process/mpdaemon/peer.go
+++ b/core/process/mpdaemon/peer.go
@@ -119,6 +119,11 @@
 			return &mpwire.QueryReply{}, nil
 		}
 		answer = v.machine.Audit(r.GetAfter(), int(r.GetLimit()))
+	case mpwire.QueryRequest_ORDERS:
+		if v == nil || !v.lead.IsLeading() {
+			return &mpwire.QueryReply{}, nil
+		}
+		answer = v.machine.Orders()
 	case mpwire.QueryRequest_VOTER:
 		if v == nil {
 			return &mpwire.QueryReply{}, nil
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -49,6 +49,7 @@
 
 	mu      sync.Mutex
 	tracker *mplease.Tracker
+	since   time.Time
 }
 
 // New returns a Lead for one voter.
@@ -68,6 +69,7 @@
 func (l *Lead) SetLeading(now time.Time, _ bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.since = now
 	l.tracker = mplease.NewTracker(mplease.Config{
 		Span:   l.cfg.Lease,
 		Margin: Margin(l.cfg.Lease),
@@ -78,6 +80,13 @@
 // IsLeading reports whether this voter leads without doubt.
 func (l *Lead) IsLeading() bool { return l.cfg.Replica.HasLease() }
 
+// Since returns when this voter last started or stopped to lead.
+func (l *Lead) Since() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.since
+}
+
 // Renew grants a lease. It returns when there is something new for the VM, or
 // after a quarter of the lease.
 func (l *Lead) Renew(ctx context.Context, r *mpwire.RenewRequest) (*mpwire.RenewReply, error) {
--- a/core/version/mpstate/command.go
+++ b/core/version/mpstate/command.go
@@ -86,6 +86,8 @@
 	Finish  *Finish  `json:"finish,omitempty"`
 	Doubt   *Doubt   `json:"doubt,omitempty"`
 	Release *Release `json:"release,omitempty"`
+	Order   *Order   `json:"order,omitempty"`
+	Carried *Carried `json:"carried,omitempty"`
 }
 
 // Encode returns the log form of c, stamped with at in ms since the Unix epoch.
@@ -102,6 +104,10 @@
 		w.Doubt = &c
 	case Release:
 		w.Release = &c
+	case Order:
+		w.Order = &c
+	case Carried:
+		w.Carried = &c
 	default:
 		return nil, mperror.Wrap(mperror.ErrInvalid, "unknown command %T", c)
 	}
@@ -125,6 +131,10 @@
 		return w.At, *w.Doubt, nil
 	case w.Release != nil:
 		return w.At, *w.Release, nil
+	case w.Order != nil:
+		return w.At, *w.Order, nil
+	case w.Carried != nil:
+		return w.At, *w.Carried, nil
 	}
 	return 0, nil, mperror.Wrap(mperror.ErrInvalid, "command of unknown kind")
 }
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 
 	"mustardpost.org/core/common/mperror"
@@ -45,6 +46,7 @@
 	answers []answered
 	byID    map[string]Result
 	claims  claims
+	orders  orders
 	clock   int64
 	changed chan struct{}
 }
@@ -89,10 +91,21 @@
 		return m.claims.doubt(c)
 	case Release:
 		return m.claims.release(c)
+	case Order:
+		return m.order(c)
+	case Carried:
+		return m.orders.carried(c)
 	}
 	return Result{Code: CodeInvalid}
 }
 
+func (m *Machine) order(c Order) Result {
+	if _, ok := m.view.Catalogue().Upstream(c.Upstream); !ok {
+		return Result{Code: CodeNotFound, Text: "upstream/" + c.Upstream}
+	}
+	return m.orders.add(m.clock, c)
+}
+
 func (m *Machine) change(c Change) Result {
 	if r, ok := m.byID[c.ID]; ok && c.ID != "" {
 		return r
@@ -226,6 +239,7 @@
 	Claims  []claim      `json:"claims"`
 	Swept   int64        `json:"swept"`
 	Clock   int64        `json:"clock"`
+	Orders  orders       `json:"orders"`
 }
 
 // Snapshot captures the whole state and returns a function that encodes it.
@@ -241,6 +255,7 @@
 		Claims:  make([]claim, 0, len(m.claims.rows)),
 		Swept:   m.claims.swept,
 		Clock:   m.clock,
+		Orders:  orders{Last: maps.Clone(m.orders.Last), Fence: m.orders.Fence},
 	}
 	for _, c := range m.claims.rows {
 		w.Claims = append(w.Claims, *c)
@@ -271,6 +286,7 @@
 		m.claims.add(&w.Claims[i])
 	}
 	m.clock = w.Clock
+	m.orders = w.Orders
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
--- a/mustardfake/commands/sample.go
+++ b/mustardfake/commands/sample.go
@@ -5,6 +5,8 @@
 
 	"github.com/urfave/cli/v2"
 
+	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/mustardfake/internal/mpfake"
 	"mustardpost.org/mustardfake/internal/mpsample"
 )
 
@@ -19,10 +21,24 @@
 			&cli.StringFlag{Name: "name", Value: "demo", Usage: fmt.Sprintf("one of %v", mpsample.Names())},
 			&cli.IntFlag{Name: "port", Value: firstPort, Usage: "first `PORT`"},
 			&cli.BoolFlag{Name: "baseline", Usage: "select the baseline policies"},
+			&cli.Float64Flag{Name: "slow", Value: 1, Usage: "make the engines this many times slower"},
+			&cli.Float64Flag{Name: "spread", Usage: "make this part of all answers ten times slower"},
+			&cli.Float64Flag{Name: "errors", Usage: "let a fifth of the upstreams fail this part of their answers"},
 		},
 		Action: func(c *cli.Context) error {
+			faulty := 0
+			change := func(f *mpfake.Config) {
+				if f.Kind == mpcatalogue.Generate {
+					f.Service *= c.Float64("slow")
+				}
+				f.Spread = c.Float64("spread")
+				faulty++
+				if faulty%5 == 0 {
+					f.Errors = c.Float64("errors")
+				}
+			}
 			l, err := mpsample.Write(c.String("dir"), c.String("name"), mpsample.Options{
-				Port: c.Int("port"), Strict: true, Baseline: c.Bool("baseline"),
+				Port: c.Int("port"), Strict: true, Baseline: c.Bool("baseline"), Change: change,
 			})
 			if err != nil {
 				return err
--- a/mustardfake/internal/mpfake/config.go
+++ b/mustardfake/internal/mpfake/config.go
@@ -30,6 +30,8 @@
 	Down int `json:"down,omitempty"`
 	// Mute hides the cold state from answers, as some engines do.
 	Mute bool `json:"mute,omitempty"`
+	// Fence makes it refuse orders with an old fencing number.
+	Fence bool `json:"fence,omitempty"`
 	// Delay is the one-way delay of the link to it.
 	Delay float64 `json:"delay,omitempty"`
 }
--- a/mustardfake/internal/mpfake/upstream.go
+++ b/mustardfake/internal/mpfake/upstream.go
@@ -108,10 +108,25 @@
 	mux.HandleFunc("POST /v1/search", u.serve(u.search))
 	mux.HandleFunc("POST /v1/rerank", u.serve(u.rerank))
 	mux.HandleFunc("POST /v1/completions", u.serve(u.complete))
+	mux.HandleFunc("POST /v1/orders", u.order)
 	mux.HandleFunc("/", u.serve(u.plain))
 	return mux
 }
 
+func (u *Upstream) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Fence uint64 `json:"fence"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sleep(r.Context(), u.cfg.Service)
+	if !u.ledger.ordered(u.cfg.Name, o.Fence, u.cfg.Fence) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
 // work is one request that the fake runs.
 type work struct {
 	ctx  context.Context
--- a/mustardfake/internal/mpsample/shape.go
+++ b/mustardfake/internal/mpsample/shape.go
@@ -53,6 +53,8 @@
 	p := pool(name, mpcatalogue.Generate, perDC, limit, 8)
 	p.fake.Prefill = 0.1
 	p.fake.Cache = 400
+	p.fake.Fence = true
+	p.pool.Fence = true
 	return p
 }
 
--- a/mustardfake/internal/mpsoak/faults_test.go
+++ b/mustardfake/internal/mpsoak/faults_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
 	"mustardpost.org/core/connection/mpoperator"
 	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -28,6 +30,7 @@
 		{"data centre out", w.takeOut},
 		{"poison", w.poison},
 		{"race", w.race},
+		{"order", w.order},
 	}
 	one := kinds[w.rand.IntN(len(kinds))]
 	w.faults[one.name]++
@@ -235,3 +238,32 @@
 	}
 	return nothing
 }
+
+// order sends a few orders to two upstreams, one of which ignores fencing
+// numbers; the ledger shows at the end in which order they took effect.
+func (w *world) order() func() {
+	for range 4 {
+		name := []string{"engine-east-1", "encoder-east-1"}[w.rand.IntN(2)]
+		o := mpstate.Order{ID: fmt.Sprintf("order-%d", w.rand.Uint64()), Upstream: name, Action: mpstate.Load, Name: "m"}
+		var out mpoperator.Fenced
+		i := w.rand.IntN(len(w.vms))
+		if w.vms[i].wanted && !w.vms[i].frozen {
+			_, _ = w.ask(i, http.MethodPost, "/v1/orders", o, &out)
+		}
+		w.pause(100, 800)
+	}
+	return nothing
+}
+
+func (w *world) checkOrders() {
+	r, ok := w.ledger()
+	if !ok {
+		w.breach("no ledger")
+	}
+	for name, list := range r.Orders {
+		if !slices.IsSorted(list) {
+			w.breach("orders took effect at %s as %v", name, list)
+		}
+		w.orders += len(list)
+	}
+}
--- a/mustardpost/commands/marks.go
+++ b/mustardpost/commands/marks.go
@@ -20,15 +20,19 @@
 			return send(c, mpoperator.Change{Mark: &m})
 		}
 	}
+	var more []*cli.Command
+	if target == "upstream" {
+		more = orderCommands()
+	}
 	list := map[string]cli.ActionFunc{"dc": listDCs, "vm": listVMs, "upstream": listUpstreams}[target]
 	return &cli.Command{
 		Name:  target,
 		Usage: "take a " + what + " out of service and back in",
-		Subcommands: []*cli.Command{
+		Subcommands: append([]*cli.Command{
 			{Name: "out", Usage: "give it no new work", ArgsUsage: "NAME", Flags: []cli.Flag{waitFlag(), idFlag()}, Action: mark(true)},
 			{Name: "in", Usage: "take it back into service", ArgsUsage: "NAME", Flags: []cli.Flag{waitFlag(), idFlag()}, Action: mark(false)},
 			{Name: "list", Usage: "list all", Action: list},
-		},
+		}, more...),
 	}
 }
 
--- a/mustardpost/internal/mpclient/mpclient.go
+++ b/mustardpost/internal/mpclient/mpclient.go
@@ -11,6 +11,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/version/mpstate"
 )
 
 const (
@@ -52,6 +53,16 @@
 	return out, c.do(ctx, http.MethodPost, "/v1/changes", body, &out)
 }
 
+// Order sends an order and returns its fencing number, or an error as Change does.
+func (c *Client) Order(ctx context.Context, o mpstate.Order) (mpoperator.Fenced, error) {
+	var out mpoperator.Fenced
+	body, err := json.Marshal(o)
+	if err != nil {
+		return out, mperror.Wrap(err, "encode order")
+	}
+	return out, c.do(ctx, http.MethodPost, "/v1/orders", body, &out)
+}
+
 func (c *Client) do(ctx context.Context, method, path string, body []byte, v any) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, bytes.NewReader(body))
 	if err != nil {
--- a/scripts/scenario.sh
+++ b/scripts/scenario.sh
@@ -67,3 +67,4 @@
 esac
 wait "$load" || echo "load ended with $?"
 cat "$dir/out"
+"$bin/mustardfake" cost --dir "$dir"
