mpreplica: Answer messages in the call that brought them

Cause: at 200 non-idempotent requests a second the leader used a whole core. The profile showed gRPC calls: each commit took four calls out and four in (append, its answer, the new commit index, its answer, to two followers). Ruled out: the disk (commit p50 1.5 ms) and the state machine (0.2 %). Replies now travel back in the call, a batch of messages costs one write to the disk, and followers learn the commit index with the next append or heartbeat. Timers that wake idle processes run less often.

mpplatform, mpreport: follow the platform's list of VMs and the upstreams' load reports.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,16 @@
 
 clean:
 	rm -rf bin run
+
+soak: build
+	cd mustardfake && SEED=$(SEED) DURATION=$(DURATION) $(GO) test -count=1 -timeout 60m -v -run Soak ./internal/mpsoak
+
+bench: build
+	bash scripts/bench.sh
+
+slopes: build
+	bash scripts/slopes.sh
+
+generate:
+	cd core/connection/mpwire && protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
--- a/core/connection/mpoperator/mpoperator.go
+++ b/core/connection/mpoperator/mpoperator.go
@@ -10,6 +10,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,6 +76,9 @@
 	mux.HandleFunc("GET /v1/status", o.status)
 	mux.HandleFunc("GET /v1/upstreams", o.upstreams)
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
+	mux.Handle("GET /debug/pprof/goroutine", pprof.Handler("goroutine"))
 	return o.authorize(mux)
 }
 
--- a/core/connection/mppeer/client.go
+++ b/core/connection/mppeer/client.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	secretKey     = "secret"
-	maxMessage    = 256 << 20
+	secretKey  = "secret"
+	maxMessage = 256 << 20
+	// bufferSize keeps the memory of hundreds of connections small.
+	bufferSize    = 4 << 10
 	connectWithin = 500 * time.Millisecond
 	backoffFirst  = 50 * time.Millisecond
 	backoffMost   = 500 * time.Millisecond
@@ -83,6 +85,9 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: wait, MinConnectTimeout: connectWithin}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithReadBufferSize(bufferSize),
+		grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithUnaryInterceptor(c.authenticate),
 		grpc.WithStatsHandler(traffic{c.cfg.Metrics}),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
--- a/core/connection/mppeer/sender.go
+++ b/core/connection/mppeer/sender.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/process/mpreplica"
@@ -24,16 +25,18 @@
 // Messages that arrive meanwhile travel together; when too many wait, new ones
 // are dropped, which the protocol tolerates.
 type Sender struct {
-	client *Client
-	ctx    context.Context
+	client  *Client
+	ctx     context.Context
+	receive func([]mpquorum.Envelope)
 
 	mu    sync.Mutex
 	lines map[string]chan mpquorum.Envelope
 }
 
-// NewSender returns a sender that works until ctx ends.
-func NewSender(ctx context.Context, client *Client) *Sender {
-	return &Sender{client: client, ctx: ctx, lines: map[string]chan mpquorum.Envelope{}}
+// NewSender returns a sender that works until ctx ends and passes replies to
+// receive.
+func NewSender(ctx context.Context, client *Client, receive func([]mpquorum.Envelope)) *Sender {
+	return &Sender{client: client, ctx: ctx, receive: receive, lines: map[string]chan mpquorum.Envelope{}}
 }
 
 // Send queues e for address.
@@ -68,21 +71,17 @@
 }
 
 func gather(first mpquorum.Envelope, line chan mpquorum.Envelope) [][]byte {
-	var batch [][]byte
-	e := first
-	for {
-		if data, err := msgpack.Marshal(e); err == nil {
-			batch = append(batch, data)
-		}
-		if len(batch) >= batchSize {
-			return batch
-		}
+	list := []mpquorum.Envelope{first}
+	for len(list) < batchSize {
 		select {
-		case e = <-line:
+		case e := <-line:
+			list = append(list, e)
+			continue
 		default:
-			return batch
 		}
+		break
 	}
+	return EncodeEnvelopes(list)
 }
 
 func (s *Sender) flush(address string, batch [][]byte) {
@@ -92,6 +91,33 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, stepDeadline)
 	defer cancel()
-	// A lost message is repeated by the protocol.
-	_, _ = peer.Step(ctx, &mpwire.StepRequest{Messages: batch})
+	reply, err := peer.Step(ctx, &mpwire.StepRequest{Messages: batch})
+	if err != nil {
+		return // The protocol repeats lost messages.
+	}
+	if replies, err := DecodeEnvelopes(reply.GetMessages()); err == nil && len(replies) > 0 {
+		s.receive(replies)
+	}
+}
+
+// DecodeEnvelopes returns the messages of a StepRequest or StepReply.
+func DecodeEnvelopes(encoded [][]byte) ([]mpquorum.Envelope, error) {
+	list := make([]mpquorum.Envelope, len(encoded))
+	for i, data := range encoded {
+		if err := msgpack.Unmarshal(data, &list[i]); err != nil {
+			return nil, mperror.Wrap(mperror.ErrInvalid, "message: %v", err)
+		}
+	}
+	return list, nil
+}
+
+// EncodeEnvelopes returns the wire form of messages.
+func EncodeEnvelopes(list []mpquorum.Envelope) [][]byte {
+	var encoded [][]byte
+	for _, e := range list {
+		if data, err := msgpack.Marshal(e); err == nil {
+			encoded = append(encoded, data)
+		}
+	}
+	return encoded
 }
--- a/core/connection/mppeer/server.go
+++ b/core/connection/mppeer/server.go
@@ -40,6 +40,9 @@
 	}
 	s := &Server{grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.ReadBufferSize(bufferSize),
+		grpc.WriteBufferSize(bufferSize),
+		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.UnaryInterceptor(authorize(cfg.Secret)),
 		grpc.StatsHandler(traffic{cfg.Metrics}),
--- /dev/null
+++ b/core/connection/mpplatform/mpplatform_test.go
@@ -0,0 +1,55 @@
+package mpplatform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mpview"
+)
+
+func apply(t *testing.T, v *mpview.View, op mpview.Op) *mpview.View {
+	t.Helper()
+	next, err := v.Apply(op)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func TestMarks(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`[{"vm":"m1","state":"leaving"},{"vm":"m2","state":"live"},{"vm":"other","state":"leaving"}]`))
+	}))
+	defer server.Close()
+	rows, err := New(server.URL).List(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := mpcatalogue.Upstream{Name: "u1", Pool: "p", DC: "north", Address: "127.0.0.1:9", VM: "m1"}
+	v := apply(t, mpview.Empty(), mpview.Edit{Edit: mpcatalogue.Edit{Put: mpcatalogue.Document{
+		DCs:       []mpcatalogue.DC{{Name: "north"}},
+		Pools:     []mpcatalogue.Pool{{Name: "p", Kind: mpcatalogue.Plain, Limit: 1}},
+		Upstreams: []mpcatalogue.Upstream{up},
+	}}})
+	want := []mpview.Mark{{Target: mpview.TargetMachine, Name: "m1", Out: true}}
+	if diff := cmp.Diff(want, Marks(rows, v)); diff != "" {
+		t.Fatalf("marks (-want +got):\n%s", diff)
+	}
+	v = apply(t, v, want[0])
+	if v.Usable(up) {
+		t.Error("an upstream on a leaving machine is still used")
+	}
+	if got := Marks(rows, v); len(got) != 0 {
+		t.Errorf("marks %v although the view agrees", got)
+	}
+	rows[0].State = Live
+	v = apply(t, v, Marks(rows, v)[0])
+	if !v.Usable(up) {
+		t.Error("an upstream on a machine that is live again is not used")
+	}
+}
--- /dev/null
+++ b/core/connection/mpreport/mpreport.go
@@ -0,0 +1,87 @@
+// Package mpreport polls the load reports of upstreams for the VM that owns
+// their groups. Reports lag, so they only lower limits.
+package mpreport
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"mustardpost.org/core/process/mpowner"
+	"mustardpost.org/core/request/mppermit"
+	"mustardpost.org/core/version/mpview"
+)
+
+const (
+	pollEvery  = 2 * time.Second
+	pollWithin = 500 * time.Millisecond
+	maxReport  = 64 << 10
+)
+
+// Report is the body of an upstream's load report. All fields may be absent.
+type Report struct {
+	// Waiting is the number of attempts that wait at the upstream.
+	Waiting int `json:"waiting"`
+	// Cold tells that it is in cold start.
+	Cold bool `json:"cold"`
+	// Instance is its id of its process.
+	Instance string `json:"instance"`
+}
+
+// Config holds what a Poller needs from outside.
+type Config struct {
+	Owner   *mpowner.Owner
+	Current func() *mpview.View
+}
+
+// Poller asks for load reports.
+type Poller struct {
+	cfg  Config
+	http *http.Client
+}
+
+// New returns a poller.
+func New(cfg Config) *Poller {
+	return &Poller{cfg: cfg, http: &http.Client{Timeout: pollWithin}}
+}
+
+// Run polls until ctx ends.
+func (p *Poller) Run(ctx context.Context) {
+	t := time.NewTicker(pollEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		c := p.cfg.Current().Catalogue()
+		for _, group := range p.cfg.Owner.Groups() {
+			for _, name := range c.Group(group) {
+				u, _ := c.Upstream(name)
+				if pool, _ := c.Pool(u.Pool); pool.Report != "" {
+					go p.poll(ctx, group, name, "http://"+u.Address+pool.Report)
+				}
+			}
+		}
+	}
+}
+
+func (p *Poller) poll(ctx context.Context, group, upstream, url string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var r Report
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&r) != nil {
+		return
+	}
+	p.cfg.Owner.Report(time.Now(), group, upstream, mppermit.Report{Instance: r.Instance, Waiting: r.Waiting, Cold: r.Cold})
+}
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -16,7 +16,9 @@
 	"mustardpost.org/core/connection/mpmember"
 	"mustardpost.org/core/connection/mpoperator"
 	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/connection/mpproposer"
+	"mustardpost.org/core/connection/mpreport"
 	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/process/mpdisk"
 	"mustardpost.org/core/process/mphttp"
@@ -36,7 +38,7 @@
 )
 
 const (
-	heartbeatPart = 5
+	heartbeatPart = 4
 	retryRatio    = 0.08
 	// unboundedRatio is that of the baseline, which retries without a budget.
 	unboundedRatio = 4.0
@@ -226,6 +228,7 @@
 	}
 	go d.owner.Run(ctx)
 	go d.member.Run(ctx)
+	go mpreport.New(mpreport.Config{Owner: d.owner, Current: d.member.Current}).Run(ctx)
 	if err := d.callers.Start(); err != nil {
 		return err
 	}
@@ -264,7 +267,7 @@
 		Store:      store,
 		Loaded:     loaded,
 		Machine:    v.machine,
-		Sender:     mppeer.NewSender(ctx, d.client),
+		Sender:     mppeer.NewSender(ctx, d.client, func(replies []mpquorum.Envelope) { v.replica.Deliver(replies) }),
 		Logger:     d.cfg.Logger,
 		SnapshotAt: int64(s.Segment),
 		Quorum: mpquorum.Config{
@@ -282,13 +285,17 @@
 	if err != nil {
 		return nil, err
 	}
-	v.lead = mplead.New(mplead.Config{
+	lcfg := mplead.Config{
 		Replica: v.replica,
 		Machine: v.machine,
 		Logger:  d.cfg.Logger,
 		Lease:   s.LeaseSpan(),
 		Quorate: len(s.Voters)/2 + 1,
-	})
+	}
+	if s.Platform != "" {
+		lcfg.Platform = mpplatform.New(s.Platform)
+	}
+	v.lead = mplead.New(lcfg)
 	lead.Store(v.lead)
 	go func() {
 		if err := v.replica.Run(); err != nil {
--- a/core/process/mpdaemon/peer.go
+++ b/core/process/mpdaemon/peer.go
@@ -6,12 +6,12 @@
 	"errors"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/request/mpattempt"
@@ -28,19 +28,16 @@
 
 var errNotVoter = status.Error(codes.FailedPrecondition, "not a voter")
 
-func (p *peer) Step(_ context.Context, r *mpwire.StepRequest) (*mpwire.StepReply, error) {
+func (p *peer) Step(ctx context.Context, r *mpwire.StepRequest) (*mpwire.StepReply, error) {
 	v := p.d.voter.Load()
 	if v == nil {
 		return nil, errNotVoter
 	}
-	for _, data := range r.GetMessages() {
-		var e mpquorum.Envelope
-		if err := msgpack.Unmarshal(data, &e); err != nil {
-			return nil, status.Error(codes.InvalidArgument, err.Error())
-		}
-		v.replica.Receive(e)
+	messages, err := mppeer.DecodeEnvelopes(r.GetMessages())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	return &mpwire.StepReply{}, nil
+	return &mpwire.StepReply{Messages: mppeer.EncodeEnvelopes(v.replica.Exchange(ctx, messages))}, nil
 }
 
 func (p *peer) Probe(context.Context, *mpwire.ProbeRequest) (*mpwire.ProbeReply, error) {
--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -259,12 +259,10 @@
 	if b.Hard != nil {
 		l.Hard = *b.Hard
 	}
-	if len(b.Entries) == 0 {
-		return
+	for _, e := range b.Entries {
+		keep := sort.Search(len(l.Entries), func(i int) bool { return l.Entries[i].Index >= e.Index })
+		l.Entries = append(l.Entries[:keep], e)
 	}
-	first := b.Entries[0].Index
-	keep := sort.Search(len(l.Entries), func(i int) bool { return l.Entries[i].Index >= first })
-	l.Entries = append(l.Entries[:keep:keep], b.Entries...)
 }
 
 func (s *Store) reopen(path string, end int64, cut bool) error {
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -28,7 +28,7 @@
 	readExtra  = 64 << 10
 	shardCount = 64
 	maxOnline  = 20_000
-	sweepEvery = 50 * time.Millisecond
+	sweepEvery = 100 * time.Millisecond
 	// drainFor is how long a caller has to read why its request was refused
 	// while it still sends.
 	drainFor = 500 * time.Millisecond
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -15,6 +15,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mplease"
+	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpreplica"
 	"mustardpost.org/core/version/mpstate"
@@ -22,12 +23,13 @@
 )
 
 const (
-	dutyEvery     = 50 * time.Millisecond
+	dutyEvery     = 100 * time.Millisecond
 	forcePoll     = 5 * time.Millisecond
 	commitWithin  = 3 * time.Second
 	marginPart    = 20
 	marginFloor   = 50 * time.Millisecond
 	holdPart      = 4
+	platformEvery = time.Second
 	systemAccount = "system"
 )
 
@@ -40,6 +42,8 @@
 	Lease time.Duration
 	// Quorate is the number of voters without which no change is accepted.
 	Quorate int
+	// Platform is the platform's list of VMs; nil where there is none.
+	Platform *mpplatform.Client
 }
 
 // Lead serves the leader's calls at every voter; elsewhere than at the leader
@@ -225,6 +229,9 @@
 
 // Run carries out the leader's duties, wherever the leader is, until ctx ends.
 func (l *Lead) Run(ctx context.Context) {
+	if l.cfg.Platform != nil {
+		go l.followPlatform(ctx)
+	}
 	t := time.NewTicker(dutyEvery)
 	defer t.Stop()
 	for {
@@ -242,6 +249,32 @@
 	}
 }
 
+// followPlatform marks the machines that begin or cease to leave.
+func (l *Lead) followPlatform(ctx context.Context) {
+	t := time.NewTicker(platformEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if !l.IsLeading() || !l.isQuorate() {
+			continue
+		}
+		rows, err := l.cfg.Platform.List(ctx)
+		if err != nil {
+			level.Warn(l.cfg.Logger).Log("msg", "platform list", "err", err)
+			continue
+		}
+		for _, mark := range mpplatform.Marks(rows, l.cfg.Machine.View()) {
+			if err := l.change(ctx, mark); err != nil {
+				level.Warn(l.cfg.Logger).Log("msg", "mark of machine", "machine", mark.Name, "err", err)
+			}
+		}
+	}
+}
+
 func (l *Lead) duties(ctx context.Context, now time.Time) error {
 	view := l.cfg.Machine.View()
 	if gone := l.expired(now, view); len(gone) > 0 {
--- a/core/process/mpowner/mpowner.go
+++ b/core/process/mpowner/mpowner.go
@@ -21,7 +21,7 @@
 
 const (
 	shardCount = 32
-	tickEvery  = 10 * time.Millisecond
+	tickEvery  = 25 * time.Millisecond
 	graceExtra = 100 * time.Millisecond
 )
 
--- a/core/process/mpquorum/replicate.go
+++ b/core/process/mpquorum/replicate.go
@@ -219,10 +219,8 @@
 	if e.Ack.Match > p.match {
 		p.match = e.Ack.Match
 		p.next = max(p.next, p.match+1)
-		if n.advance() {
-			n.broadcast(now)
-			return
-		}
+		// Followers learn of the commit with the next append or heartbeat.
+		n.advance()
 	}
 	if p.next <= n.log.last() {
 		n.sendAppend(now, e.From, p)
@@ -230,8 +228,8 @@
 }
 
 // advance commits what a quorum holds, and only entries of the present term
-// (Raft, section 5.4.2). It reports whether the commit index rose.
-func (n *Node) advance() bool {
+// (Raft, section 5.4.2).
+func (n *Node) advance() {
 	var matches []uint64
 	for _, id := range n.members().Voters() {
 		switch p, ok := n.peers[id]; {
@@ -246,8 +244,7 @@
 	slices.SortFunc(matches, func(a, b uint64) int { return int(int64(b) - int64(a)) })
 	index := matches[n.quorum()-1]
 	if t, ok := n.log.term(index); !ok || t != n.hard.Term || index <= n.commit {
-		return false
+		return
 	}
 	n.commit = index
-	return true
 }
--- a/core/process/mpquorum/types.go
+++ b/core/process/mpquorum/types.go
@@ -138,6 +138,23 @@
 	Committed []Entry
 }
 
+// With returns the actions of a followed by those of b. A snapshot in b replaces
+// the entries of a, and the commits that it covers.
+func (a Actions) With(b Actions) Actions {
+	if b.Hard != nil {
+		a.Hard = b.Hard
+	}
+	if b.Snapshot != nil {
+		a.Snapshot = b.Snapshot
+		a.Entries = nil
+		a.Committed = nil
+	}
+	a.Entries = append(a.Entries[:len(a.Entries):len(a.Entries)], b.Entries...)
+	a.Messages = append(a.Messages[:len(a.Messages):len(a.Messages)], b.Messages...)
+	a.Committed = append(a.Committed[:len(a.Committed):len(a.Committed)], b.Committed...)
+	return a
+}
+
 func (m Membership) seat(id Member) (Seat, bool) {
 	for _, s := range m.Seats {
 		if s.Member == id {
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	tickEvery    = 20 * time.Millisecond
+	tickEvery    = 25 * time.Millisecond
 	inboxSize    = 4096
 	batchLimit   = 512
 	keepEntries  = 1000
@@ -70,6 +70,13 @@
 	err    error
 }
 
+// inbound is a batch of messages from one member. Where replies is nil, what
+// answers them is sent like everything else.
+type inbound struct {
+	messages []mpquorum.Envelope
+	replies  chan []mpquorum.Envelope
+}
+
 type written struct {
 	snap mpquorum.Snapshot
 	err  error
@@ -95,7 +102,7 @@
 type Replica struct {
 	cfg       Config
 	proposals chan proposal
-	events    chan mpquorum.Event
+	inbox     chan inbound
 	calls     chan func(now time.Time)
 	snapped   chan written
 	quit      chan struct{}
@@ -135,7 +142,7 @@
 	r := &Replica{
 		cfg:       cfg,
 		proposals: make(chan proposal, inboxSize),
-		events:    make(chan mpquorum.Event, inboxSize),
+		inbox:     make(chan inbound, inboxSize),
 		calls:     make(chan func(time.Time)),
 		snapped:   make(chan written, 1),
 		quit:      make(chan struct{}),
@@ -163,8 +170,8 @@
 			return nil
 		case <-ticker.C:
 			err = r.tick(time.Now())
-		case e := <-r.events:
-			err = r.step(time.Now(), e)
+		case in := <-r.inbox:
+			err = r.exchange(time.Now(), in)
 		case p := <-r.proposals:
 			err = r.propose(time.Now(), p)
 		case f := <-r.calls:
@@ -185,11 +192,30 @@
 	<-r.stopped
 }
 
-// Receive delivers a message from another member; it drops it when overrun,
-// which the protocol tolerates.
-func (r *Replica) Receive(e mpquorum.Envelope) {
+// Exchange delivers messages of another member and returns the replies to it,
+// once they may be sent. It returns nothing when overrun, which the protocol
+// tolerates.
+func (r *Replica) Exchange(ctx context.Context, messages []mpquorum.Envelope) []mpquorum.Envelope {
+	in := inbound{messages: messages, replies: make(chan []mpquorum.Envelope, 1)}
+	select {
+	case r.inbox <- in:
+	default:
+		return nil
+	}
+	select {
+	case replies := <-in.replies:
+		return replies
+	case <-ctx.Done():
+		return nil
+	case <-r.stopped:
+		return nil
+	}
+}
+
+// Deliver passes on messages without waiting for what they lead to.
+func (r *Replica) Deliver(messages []mpquorum.Envelope) {
 	select {
-	case r.events <- mpquorum.Receive{Envelope: e}:
+	case r.inbox <- inbound{messages: messages}:
 	default:
 	}
 }
@@ -324,30 +350,62 @@
 	}
 }
 
-// step advances the node and carries out its actions in their order.
+// step advances the node by one event and carries out its actions.
 func (r *Replica) step(now time.Time, e mpquorum.Event) error {
-	if m, ok := e.(mpquorum.Receive); ok {
-		r.senders[m.Envelope.From] = m.Envelope.Address
-	}
 	acts, stepErr := r.node.Step(now, e)
-	if err := r.persist(acts); err != nil {
+	if _, err := r.carryOut(now, acts, 0); err != nil {
 		return err
 	}
+	return stepErr
+}
+
+// exchange advances the node by a batch of messages and carries out the
+// actions of all together, so that they cost one write to the disk.
+func (r *Replica) exchange(now time.Time, in inbound) error {
+	var all mpquorum.Actions
+	var from mpquorum.Member
+	for _, m := range in.messages {
+		from = m.From
+		r.senders[from] = m.Address
+		acts, err := r.node.Step(now, mpquorum.Receive{Envelope: m})
+		if err != nil {
+			return err
+		}
+		all = all.With(acts)
+	}
+	if in.replies == nil {
+		_, err := r.carryOut(now, all, 0)
+		return err
+	}
+	replies, err := r.carryOut(now, all, from)
+	in.replies <- replies
+	return err
+}
+
+// carryOut persists, sends and applies, in that order. It returns the messages
+// to the given member instead of sending them.
+func (r *Replica) carryOut(now time.Time, acts mpquorum.Actions, to mpquorum.Member) ([]mpquorum.Envelope, error) {
+	if err := r.persist(acts); err != nil {
+		return nil, err
+	}
+	var replies []mpquorum.Envelope
 	for _, m := range acts.Messages {
-		if s, ok := r.address(m.To); ok {
-			m.Address = r.cfg.Address
-			r.cfg.Sender.Send(s, m)
+		m.Address = r.cfg.Address
+		if m.To == to {
+			replies = append(replies, m)
+		} else if address, ok := r.address(m.To); ok {
+			r.cfg.Sender.Send(address, m)
 		}
 	}
 	if acts.Snapshot != nil && len(acts.Snapshot.Data) > 0 {
 		if err := r.cfg.Machine.Restore(acts.Snapshot.Data); err != nil {
-			return mperror.Wrap(err, "restore snapshot %d", acts.Snapshot.Index)
+			return nil, mperror.Wrap(err, "restore snapshot %d", acts.Snapshot.Index)
 		}
 	}
 	r.apply(acts.Committed)
 	r.noteLeading(now)
 	r.publish()
-	return stepErr
+	return replies, nil
 }
 
 func (r *Replica) persist(acts mpquorum.Actions) error {
--- a/core/version/mpview/op.go
+++ b/core/version/mpview/op.go
@@ -26,6 +26,8 @@
 	TargetVM Target = "vm"
 	// TargetUpstream marks an upstream.
 	TargetUpstream Target = "upstream"
+	// TargetMachine marks a machine of the platform, with all its upstreams.
+	TargetMachine Target = "machine"
 )
 
 // Mark takes a data centre, VM or upstream out of service or back in.
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -111,7 +111,8 @@
 
 // Usable reports whether new attempts may go to upstream u.
 func (v *View) Usable(u mpcatalogue.Upstream) bool {
-	return !v.IsOut(TargetUpstream, u.Name) && !v.IsOut(TargetDC, u.DC)
+	leaving := u.VM != "" && v.IsOut(TargetMachine, u.VM)
+	return !leaving && !v.IsOut(TargetUpstream, u.Name) && !v.IsOut(TargetDC, u.DC)
 }
 
 // Touched returns the revision that last changed a row, given as kind/name.
@@ -212,6 +213,8 @@
 		_, known = v.catalogue.DC(op.Name)
 	case TargetUpstream:
 		_, known = v.catalogue.Upstream(op.Name)
+	case TargetMachine:
+		known = true
 	case TargetVM:
 		_, known = v.vms[op.Name]
 		known = known || !op.Out && v.IsOut(TargetVM, op.Name)
