mppermit: Estimate service by the size of the work, and refuse early

Service times are now kept for each unit of work, fair queuing charges work, and an account that a pool has just refused is refused before its first stage. Hedges need an answer slower than twice the median.

--- a/core/request/mpattempt/wire.go
+++ b/core/request/mpattempt/wire.go
@@ -31,6 +31,7 @@
 		Alone:      a.Alone,
 		Hedge:      a.Hedge,
 		Avoid:      a.Avoid.Sorted(),
+		Work:       uint32(max(a.Work, 1)),
 	}
 }
 
@@ -48,6 +49,7 @@
 		Alone:    r.GetAlone(),
 		Hedge:    r.GetHedge(),
 		Avoid:    mpset.Of(r.GetAvoid()...),
+		Work:     int(r.GetWork()),
 	}
 }
 
--- a/core/request/mppermit/fair.go
+++ b/core/request/mppermit/fair.go
@@ -14,7 +14,7 @@
 type flow struct {
 	account string
 	weight  int
-	// served is the account's virtual time: permits granted over weight.
+	// served is the account's virtual time: work granted over weight.
 	served float64
 	queue  []waiter
 }
@@ -82,14 +82,14 @@
 	w := fl.queue[i]
 	fl.queue = slices.Delete(fl.queue, i, i+1)
 	f.size--
-	f.charge(fl)
+	f.charge(fl, w.ask)
 	return w
 }
 
-// charge counts one permit for fl.
-func (f *fair) charge(fl *flow) {
+// charge counts the work of a permit for fl.
+func (f *fair) charge(fl *flow, a Ask) {
 	f.clock = max(f.clock, fl.served)
-	fl.served += 1 / float64(fl.weight)
+	fl.served += float64(max(a.Work, 1)) / float64(fl.weight)
 }
 
 // remove drops all asks for which gone is true and returns them.
@@ -137,6 +137,17 @@
 	return 0
 }
 
+// work returns the work that account waits for.
+func (f *fair) work(account string) int {
+	total := 0
+	if fl, ok := f.flows[account]; ok {
+		for _, w := range fl.queue {
+			total += max(w.ask.Work, 1)
+		}
+	}
+	return total
+}
+
 // share returns the part of the service that account gets while it waits.
 func (f *fair) share(account string, weight int) float64 {
 	total := float64(max(weight, 1))
--- a/core/request/mppermit/group.go
+++ b/core/request/mppermit/group.go
@@ -18,6 +18,8 @@
 	resortEvery  = 16
 	hedgeAt      = 0.95
 	hedgeMinimum = 16
+	// hedgeFactor keeps hedges away from pools whose answers differ little.
+	hedgeFactor  = 2
 	alonePart    = 2
 	cancelNotice = 100 * time.Millisecond
 )
@@ -160,7 +162,7 @@
 	g.doubt(now)
 	if g.queue.waiting(a.Account) == 0 {
 		if s := g.choose(now, a); s != nil && g.isTurn(a) {
-			g.queue.charge(g.queue.flow(a.Account, a.Weight))
+			g.queue.charge(g.queue.flow(a.Account, a.Weight), a)
 			return []Decision{g.grant(now, s, a)}
 		}
 	}
@@ -177,7 +179,7 @@
 
 func (g *Group) enqueue(now time.Time, a Ask) []Decision {
 	wait := g.expectedWait(now, a)
-	service := g.took.median()
+	service := g.service(a)
 	if wait+service > a.Left {
 		return []Decision{Refuse{a.Attempt, Late, wait}}
 	}
@@ -196,16 +198,21 @@
 	return append(out, g.serve(now)...)
 }
 
-// expectedWait estimates how long a would wait: its account's queue, served at
-// the account's share of the group's rate.
+// service estimates how long an attempt takes once it is sent.
+func (g *Group) service(a Ask) time.Duration {
+	return g.took.median() * time.Duration(max(a.Work, 1))
+}
+
+// expectedWait estimates how long a would wait: the work that its account has
+// queued, served at the account's share of the group's rate.
 func (g *Group) expectedWait(now time.Time, a Ask) time.Duration {
 	capacity := g.capacity(now)
-	service := g.took.mean()
-	if capacity == 0 || service == 0 {
+	unit := g.took.mean()
+	if capacity == 0 || unit == 0 {
 		return 0
 	}
-	rate := float64(capacity) / service.Seconds() * g.queue.share(a.Account, a.Weight)
-	ahead := float64(g.queue.waiting(a.Account) + 1)
+	rate := float64(capacity) / unit.Seconds() * g.queue.share(a.Account, a.Weight)
+	ahead := float64(g.queue.work(a.Account) + max(a.Work, 1))
 	return time.Duration(ahead / rate * float64(time.Second))
 }
 
@@ -229,7 +236,7 @@
 	s.drop(e.Attempt)
 	s.settle(now, e, h)
 	if e.End == Done && e.Took > 0 {
-		g.took.add(e.Took)
+		g.took.add(h.unit(e.Took))
 	}
 	return g.serve(now)
 }
@@ -261,7 +268,7 @@
 	}
 	var out []Decision
 	for _, w := range g.queue.remove(func(w waiter) bool { return now.After(w.latest) }) {
-		out = append(out, Refuse{w.ask.Attempt, Late, g.took.median()})
+		out = append(out, Refuse{w.ask.Attempt, Late, g.service(w.ask)})
 	}
 	g.doubt(now)
 	g.queue.tidy()
@@ -330,12 +337,12 @@
 }
 
 func (g *Group) grant(now time.Time, s *slot, a Ask) Decision {
-	h := hold{vm: a.VM, until: now.Add(a.Left + slack), alone: a.Alone, cold: !s.isWarm()}
+	h := hold{vm: a.VM, until: now.Add(a.Left + slack), alone: a.Alone, cold: !s.isWarm(), work: a.Work}
 	if len(s.held) >= s.capacity() || a.Alone && len(s.held) > 0 {
 		g.breach = s.spec.Name
 	}
 	g.hold(s, a.Attempt, h)
-	d := Grant{Attempt: a.Attempt, Upstream: s.spec.Name, Hedge: g.took.hedge()}
+	d := Grant{Attempt: a.Attempt, Upstream: s.spec.Name, Hedge: g.took.hedge() * time.Duration(max(a.Work, 1))}
 	if !s.unsure {
 		d.Limit, d.Instance = s.limit, s.instance
 	}
@@ -534,7 +541,7 @@
 	return min(max(g.opensAt.Sub(now), g.quiet.Sub(now)), shortRetry)
 }
 
-// durations keeps the last service times of a group.
+// durations keeps the last service times of a group, for each unit of work.
 type durations struct {
 	ring   []time.Duration
 	at     int
@@ -580,5 +587,5 @@
 	if len(d.ring) < hedgeMinimum {
 		return 0
 	}
-	return d.quantile(hedgeAt)
+	return max(d.quantile(hedgeAt), hedgeFactor*d.median())
 }
--- a/core/request/mppermit/slot.go
+++ b/core/request/mppermit/slot.go
@@ -41,6 +41,12 @@
 	until time.Time
 	alone bool
 	cold  bool
+	work  int
+}
+
+// unit returns the service time of each unit of work in an attempt.
+func (h hold) unit(took time.Duration) time.Duration {
+	return took / time.Duration(max(h.work, 1))
 }
 
 func newSlot(s Spec) *slot {
@@ -124,7 +130,7 @@
 	}
 	switch e.End {
 	case Done:
-		s.succeed(e)
+		s.succeed(e, h)
 	case Failed:
 		s.failures++
 		if s.failures >= breakerFailures || s.probing {
@@ -144,12 +150,12 @@
 
 // succeed lets the limit rise. Only successes raise it, never time alone, and
 // not while the upstream says that it is cold.
-func (s *slot) succeed(e Settlement) {
+func (s *slot) succeed(e Settlement, h hold) {
 	s.failures = 0
 	s.opens = 0
 	s.probing = false
 	s.unsure = false
-	if s.noteTook(e.Took) {
+	if s.noteTook(h.unit(e.Took)) {
 		s.turnCold()
 		return
 	}
@@ -163,7 +169,7 @@
 	}
 }
 
-// noteTook follows the upstream's latency and reports whether it has left its
+// noteTook follows the upstream's service time of a unit and reports whether it has left its
 // band for several answers in a row.
 func (s *slot) noteTook(took time.Duration) bool {
 	if took <= 0 {
--- a/core/request/mppermit/types.go
+++ b/core/request/mppermit/types.go
@@ -27,6 +27,9 @@
 	Priority int
 	// Left is what remains of the request's deadline.
 	Left time.Duration
+	// Work is the expected size of the attempt, in tokens, or 1; service times
+	// are followed for each unit of it.
+	Work int
 	// Patience bounds the expected wait; 0 asks for an immediate answer.
 	Patience time.Duration
 	// Prefix attracts asks of the same prefix to the same upstream; 0 does not.
--- a/core/request/mppipeline/runner.go
+++ b/core/request/mppipeline/runner.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpadmit"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
@@ -29,6 +30,7 @@
 type Runner struct {
 	cfg    Config
 	outage outage
+	gate   *mpadmit.Gate
 
 	mu      sync.Mutex
 	budgets map[string]*mpbudget.Budget
@@ -36,7 +38,7 @@
 
 // New returns a runner.
 func New(cfg Config) *Runner {
-	return &Runner{cfg: cfg, budgets: map[string]*mpbudget.Budget{}}
+	return &Runner{cfg: cfg, gate: mpadmit.NewGate(), budgets: map[string]*mpbudget.Budget{}}
 }
 
 // budget returns the retry budget of a pool.
@@ -190,6 +192,9 @@
 
 // stages runs the stages in order.
 func (x *run) stages(ctx context.Context) Outcome {
+	if wait := x.longestWait(); wait > 0 {
+		return x.giveUp(mperror.Wrap(mperror.ErrFull, "a later stage takes no more now"), wait)
+	}
 	for i := range x.req.Entry.Stages {
 		if out, ok := x.stage(ctx, i); !ok {
 			return out
@@ -198,6 +203,17 @@
 	return x.flow.outcome()
 }
 
+// longestWait returns how long the request's pools, but the first one's, which
+// answers for itself, stay closed for its account.
+func (x *run) longestWait() time.Duration {
+	now := x.cfg.Clock()
+	wait := time.Duration(0)
+	for _, s := range x.req.Entry.Stages[1:] {
+		wait = max(wait, x.gate.Wait(now, s.Pool, x.req.Account.Name))
+	}
+	return wait
+}
+
 // strike records that an upstream crashed under this request, and waits until
 // every VM knows; only then may it be tried again anywhere. It returns nil when
 // another try is allowed.
--- a/core/request/mppipeline/stage.go
+++ b/core/request/mppipeline/stage.go
@@ -129,6 +129,7 @@
 		for _, patience := range []time.Duration{spillAfter, s.left()} {
 			p, refusal := s.round(ctx, patience)
 			if refusal == nil {
+				s.gate.Granted(s.pool.Name, s.req.Account.Name)
 				return p, nil
 			}
 			last = refusal
@@ -136,6 +137,9 @@
 				break
 			}
 		}
+		if errors.Is(last, mperror.ErrFull) || errors.Is(last, mperror.ErrLate) {
+			s.gate.Refused(s.cfg.Clock(), s.pool.Name, s.req.Account.Name, last.Retry)
+		}
 		if !isPassing(last) || s.left() < acquirePause || ctx.Err() != nil {
 			return mpattempt.Permit{}, last
 		}
@@ -205,6 +209,7 @@
 		Weight:   s.req.Account.Weight,
 		Priority: s.req.Class.Priority,
 		Left:     s.left(),
+		Work:     s.work(),
 		Patience: patience,
 		Prefix:   s.flow.prefix(s.pool),
 		Alone:    s.strikes() > 0,
@@ -213,6 +218,14 @@
 	}
 }
 
+// work returns the expected size of an attempt.
+func (s *stage) work() int {
+	if s.pool.Kind == mpcatalogue.Generate {
+		return s.flow.tokens(s.spec)
+	}
+	return 1
+}
+
 // try sends the attempt that permit allows and, where the entry allows it and
 // the answer is slow, a second one beside it. The first whole answer wins.
 func (s *stage) try(ctx context.Context, permit mpattempt.Permit) result {
--- a/mustardfake/internal/mpfake/config.go
+++ b/mustardfake/internal/mpfake/config.go
@@ -14,7 +14,8 @@
 	// falls over; over Limit it slows down in proportion.
 	Limit int `json:"limit"`
 	Cold  int `json:"cold"`
-	// Warmup is the number of answers after which it is warm.
+	// Warmup is the number of answers after which it is warm; until then it says
+	// that it is cold, and bears no more than Cold.
 	Warmup int `json:"warmup"`
 	// Service is the time of an answer; for engines, of each token.
 	Service float64 `json:"service"`
--- a/mustardfake/internal/mpload/send.go
+++ b/mustardfake/internal/mpload/send.go
@@ -58,6 +58,10 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+j.account.Key)
 	req.Header.Set("Content-Type", "application/json")
+	if end, ok := ctx.Deadline(); ok {
+		left := time.Until(end.Add(-grace))
+		req.Header.Set(mpcaller.DeadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	}
 	if j.entry.Once {
 		req.Header.Set(mpcaller.KeyHeader, j.key)
 	}
