--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 test: format lint unit
 
 unit: build
-	for m in $(MODULES); do (cd $$m && $(GO) test -race -timeout 8m ./...) || exit 1; done
+	for m in $(MODULES); do (cd $$m && $(GO) test -race -timeout 4m ./...) || exit 1; done
 
 format:
 	@out=$$(gofmt -l -s $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -343,7 +343,9 @@
 	if v := d.voter.Load(); v != nil {
 		v.replica.Transfer()
 	}
-	idleSince := started
+	d.announce(ctx)
+	lastNamed := time.Now()
+	idleSince := lastNamed
 	t := time.NewTicker(leaveStep)
 	defer t.Stop()
 	for {
@@ -356,10 +358,37 @@
 		if d.callers.Running() > 0 || d.broker.Held() > 0 || d.awaitsHeirs() {
 			idleSince = now
 		}
-		announced := now.Sub(started) > mpcaller.Keep+d.cfg.Settings.LeaseSpan()
-		if announced && now.Sub(idleSince) > leaveExtra || now.Sub(started) > leaveMost {
+		forgotten := now.Sub(lastNamed) > mpcaller.Keep
+		if forgotten && now.Sub(idleSince) > leaveExtra || now.Sub(started) > leaveMost {
 			level.Info(d.cfg.Logger).Log("msg", "left", "took", now.Sub(started))
 			return
 		}
 	}
 }
+
+// announce returns when no VM names this one to callers any more: when a change
+// made after its row says that it is leaving is in force, or at the latest when
+// all leases of that moment have run out.
+func (d *Daemon) announce(ctx context.Context) {
+	bound := d.cfg.Settings.LeaseSpan() + mplead.Margin(d.cfg.Settings.LeaseSpan())
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	t := time.NewTicker(leaveStep)
+	defer t.Stop()
+	for {
+		if row, ok := d.member.Current().VM(d.cfg.Settings.VM); ok && row.Leaving {
+			break
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	op := mpview.Note{Kind: "leave", Text: d.cfg.Settings.VM + " is no longer named to callers"}
+	c := mpstate.Change{ID: mplead.NewID(), Who: "system", Change: mpview.Change{Op: op}}
+	reply, err := d.proposer.Propose(ctx, c, bound)
+	if err != nil || !reply.InForce {
+		<-ctx.Done()
+	}
+}
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -29,6 +29,7 @@
 	shardCount = 64
 	maxOnline  = 20_000
 	sweepEvery = 100 * time.Millisecond
+	stopWithin = time.Second
 	// drainFor is how long a caller has to read why its request was refused
 	// while it still sends.
 	drainFor = 500 * time.Millisecond
@@ -105,10 +106,22 @@
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
-// Stop closes the address and all connections.
+// Stop closes the address and all connections. It gives up waiting after a
+// while: an nbio poller that has not begun its loop yet misses the stop signal
+// and never ends.
 func (s *Server) Stop() {
 	close(s.quit)
-	s.engine.Stop()
+	stopped := make(chan struct{})
+	go func() {
+		s.engine.Stop()
+		close(stopped)
+	}()
+	t := time.NewTimer(stopWithin)
+	defer t.Stop()
+	select {
+	case <-stopped:
+	case <-t.C:
+	}
 }
 
 // receive parses what came over a connection. A request that cannot be parsed
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -13,6 +13,9 @@
 	"mustardpost.org/core/version/mpcatalogue"
 )
 
+// maxTouched bounds the rows whose last change is remembered.
+const maxTouched = 20_000
+
 // StrikesToConvict is the number of upstreams that one request may crash
 // before it is refused for good.
 const StrikesToConvict = 2
@@ -50,6 +53,7 @@
 	catalogue *mpcatalogue.Catalogue
 	out       map[string]uint64
 	touched   map[string]uint64
+	oldest    uint64
 	vms       map[string]VM
 	owners    map[string]Ownership
 	strikes   map[uint64]Struck
@@ -124,6 +128,9 @@
 	if base == 0 {
 		return nil
 	}
+	if base < v.oldest {
+		return mperror.Wrap(mperror.ErrConflict, "revision %d is too old to compare with", base)
+	}
 	for _, key := range keys(op) {
 		if at := v.touched[key]; at > base {
 			return mperror.Wrap(mperror.ErrConflict, "%s changed at revision %d, after %d", key, at, base)
@@ -181,10 +188,25 @@
 		for _, key := range touched {
 			next.touched[key] = next.revision
 		}
+		next.forget()
 	}
 	return &next, nil
 }
 
+// forget drops the oldest notes of touched rows, which may be gone, when many
+// have gathered. A base that old is taken for a conflict.
+func (v *View) forget() {
+	if len(v.touched) <= maxTouched {
+		return
+	}
+	for key, at := range v.touched {
+		if at+maxTouched < v.revision {
+			delete(v.touched, key)
+		}
+	}
+	v.oldest = max(v.oldest, v.revision-min(v.revision, maxTouched))
+}
+
 func cloned[K comparable, V any](m map[K]V) map[K]V {
 	if m == nil {
 		return map[K]V{}
@@ -259,6 +281,7 @@
 	Catalogue mpcatalogue.Document `json:"catalogue"`
 	Out       map[string]uint64    `json:"out"`
 	Touched   map[string]uint64    `json:"touched"`
+	Oldest    uint64               `json:"oldest,omitempty"`
 	VMs       map[string]VM        `json:"vms"`
 	Owners    map[string]Ownership `json:"owners"`
 	Strikes   map[uint64]Struck    `json:"strikes"`
@@ -271,6 +294,7 @@
 		Catalogue: v.catalogue.Document(),
 		Out:       v.out,
 		Touched:   v.touched,
+		Oldest:    v.oldest,
 		VMs:       v.vms,
 		Owners:    v.owners,
 		Strikes:   v.strikes,
@@ -292,6 +316,7 @@
 		catalogue: c,
 		out:       w.Out,
 		touched:   w.Touched,
+		oldest:    w.Oldest,
 		vms:       w.VMs,
 		owners:    w.Owners,
 		strikes:   w.Strikes,
--- /dev/null
+++ b/core/version/mpview/view_test.go
@@ -0,0 +1,176 @@
+package mpview
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/version/mpcatalogue"
+)
+
+func apply(t *testing.T, v *View, ops ...Op) *View {
+	t.Helper()
+	for _, op := range ops {
+		next, err := v.Apply(op)
+		if err != nil {
+			t.Fatalf("%T: %v", op, err)
+		}
+		v = next
+	}
+	return v
+}
+
+// sample has two data centres with a pool in each, and three VMs.
+func sample(t *testing.T) *View {
+	t.Helper()
+	doc := mpcatalogue.Document{
+		DCs:   []mpcatalogue.DC{{Name: "north"}, {Name: "south"}},
+		Pools: []mpcatalogue.Pool{{Name: "p", Kind: mpcatalogue.Plain, Limit: 1}},
+		Upstreams: []mpcatalogue.Upstream{
+			{Name: "u1", Pool: "p", DC: "north", Address: "127.0.0.1:1"},
+			{Name: "u2", Pool: "p", DC: "south", Address: "127.0.0.1:2"},
+		},
+	}
+	return apply(t, Empty(), Edit{mpcatalogue.Edit{Put: doc}},
+		Join{VM{Name: "n1", DC: "north", Boot: 1}}, Join{VM{Name: "n2", DC: "north", Boot: 1}},
+		Join{VM{Name: "s1", DC: "south", Boot: 1}})
+}
+
+func TestEncoding(t *testing.T) {
+	v := apply(t, sample(t), Plan(sample(t)), Mark{TargetDC, "south", true}, Strike{[]uint64{7}, 99})
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := Empty()
+	if err := json.Unmarshal(data, other); err != nil {
+		t.Fatal(err)
+	}
+	again, err := json.Marshal(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(data), string(again)); diff != "" {
+		t.Errorf("decoded view (-want +got):\n%s", diff)
+	}
+	ops := []Op{
+		Edit{mpcatalogue.Edit{Drop: mpcatalogue.Names{Pools: []string{"p"}}}}, Mark{TargetVM, "n1", true},
+		Join{VM{Name: "x"}}, Leave{[]string{"n1"}}, Assign{map[string]string{"g": "n1"}},
+		Strike{[]uint64{1}, 2}, Clear{[]uint64{1}}, Note{"overload", "text"},
+	}
+	for _, op := range ops {
+		t.Run(fmt.Sprintf("%T", op), func(t *testing.T) {
+			data, err := json.Marshal(Change{Revision: 5, Op: op})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got Change
+			if err := json.Unmarshal(data, &got); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(Change{Revision: 5, Op: op}, got); diff != "" {
+				t.Errorf("change (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func checkOwner(t *testing.T, v *View, group string, want ...string) {
+	t.Helper()
+	o, ok := v.Owner(group)
+	for _, vm := range want {
+		if ok && o.VM == vm {
+			return
+		}
+	}
+	t.Errorf("%s is owned by %q, want one of %v", group, o.VM, want)
+}
+
+func TestPlan(t *testing.T) {
+	v := sample(t)
+	v = apply(t, v, Plan(v))
+	t.Run("groups are owned in their data centre", func(t *testing.T) {
+		checkOwner(t, v, "p@north", "n1", "n2")
+		checkOwner(t, v, "p@south", "s1")
+		if o, _ := v.Owner("p@north"); !o.Fresh {
+			t.Error("a first owner is not told that the group is fresh")
+		}
+	})
+	t.Run("nothing moves without a cause", func(t *testing.T) {
+		if plan := Plan(v); len(plan.Owners) != 0 {
+			t.Errorf("plan %v", plan)
+		}
+	})
+	t.Run("a lost VM's group passes on, in a new epoch", func(t *testing.T) {
+		next := apply(t, v, Leave{[]string{"s1"}})
+		next = apply(t, next, Plan(next))
+		checkOwner(t, next, "p@south", "n1", "n2")
+		was, _ := v.Owner("p@south")
+		if now, _ := next.Owner("p@south"); now.Epoch <= was.Epoch || now.Fresh {
+			t.Errorf("ownership %+v after %+v", now, was)
+		}
+		back := apply(t, next, Join{VM{Name: "s1", DC: "south", Boot: 2}})
+		checkOwner(t, apply(t, back, Plan(back)), "p@south", "s1")
+	})
+	t.Run("a leaving VM owns nothing", func(t *testing.T) {
+		next := apply(t, v, Join{VM{Name: "s1", DC: "south", Boot: 1, Leaving: true}})
+		checkOwner(t, apply(t, next, Plan(next)), "p@south", "n1", "n2")
+	})
+	t.Run("a group that is gone has no owner", func(t *testing.T) {
+		drop := mpcatalogue.Edit{Drop: mpcatalogue.Names{Upstreams: []string{"u2"}}}
+		next := apply(t, v, Edit{drop})
+		next = apply(t, next, Plan(next))
+		if o, ok := next.Owner("p@south"); ok {
+			t.Errorf("owned by %s", o.VM)
+		}
+	})
+}
+
+func TestMark(t *testing.T) {
+	v := sample(t)
+	t.Run("an unknown name", func(t *testing.T) {
+		if _, err := v.Apply(Mark{TargetDC, "west", true}); !errors.Is(err, mperror.ErrNotFound) {
+			t.Errorf("error %v, want ErrNotFound", err)
+		}
+	})
+	t.Run("a mark outlives an edit of its row", func(t *testing.T) {
+		put := mpcatalogue.Document{DCs: []mpcatalogue.DC{{Name: "south", Region: "r"}}}
+		next := apply(t, v, Mark{TargetDC, "south", true}, Edit{mpcatalogue.Edit{Put: put}})
+		u, _ := next.Catalogue().Upstream("u2")
+		if next.Usable(u) {
+			t.Error("an upstream of a data centre that is out may be used")
+		}
+	})
+	t.Run("two marks from one revision", func(t *testing.T) {
+		base := v.Revision()
+		next := apply(t, v, Mark{TargetDC, "south", true})
+		if err := next.Conflict(base, Mark{TargetDC, "south", false}); !errors.Is(err, mperror.ErrConflict) {
+			t.Errorf("error %v, want ErrConflict", err)
+		}
+		if err := next.Conflict(base, Mark{TargetDC, "north", true}); err != nil {
+			t.Errorf("another row conflicts: %v", err)
+		}
+	})
+}
+
+func TestForget(t *testing.T) {
+	v := Empty()
+	for i := range maxTouched + 50 {
+		v.touched = map[string]uint64{}
+		v.revision = uint64(i)
+	}
+	for i := range maxTouched + 10 {
+		v.touched[fmt.Sprint(i)] = uint64(i % 40)
+	}
+	v.forget()
+	if len(v.touched) > maxTouched {
+		t.Errorf("%d rows remembered", len(v.touched))
+	}
+	if err := v.Conflict(1, Edit{}); !errors.Is(err, mperror.ErrConflict) {
+		t.Errorf("a base older than all that is remembered: %v, want ErrConflict", err)
+	}
+}
--- a/mustardfake/internal/mpload/print.go
+++ b/mustardfake/internal/mpload/print.go
@@ -14,7 +14,7 @@
 // Print writes the tables of a run.
 func (s Summary) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\tsent\tattained\tp50 ms\tp95 ms\tp99 ms\tfirst p95\tnot answered")
+	fmt.Fprintln(w, "\tsent\tattained\tp50 ms\tp95 ms\tp99 ms\tfirst p95\tgap p95\tnot answered")
 	s.Total.print(w)
 	for _, lines := range []map[string]*Line{s.Entries, s.Accounts} {
 		for _, name := range slices.Sorted(maps.Keys(lines)) {
@@ -42,9 +42,9 @@
 	if len(l.Refused) > 0 {
 		rest = append(rest, "("+counts(l.Refused)+")", fmt.Sprintf("in p95 %d ms", l.Refusal.ValueAtQuantile(95)))
 	}
-	fmt.Fprintf(w, "%s\t%d\t%.2f%%\t%d\t%d\t%d\t%d\t%s\n", l.Name, l.Sent, 100*l.Attainment(),
+	fmt.Fprintf(w, "%s\t%d\t%.2f%%\t%d\t%d\t%d\t%d\t%d\t%s\n", l.Name, l.Sent, 100*l.Attainment(),
 		l.Took.ValueAtQuantile(50), l.Took.ValueAtQuantile(95), l.Took.ValueAtQuantile(99),
-		l.First.ValueAtQuantile(95), strings.Join(rest, " "))
+		l.First.ValueAtQuantile(95), l.Gap.ValueAtQuantile(95), strings.Join(rest, " "))
 }
 
 func counts(m map[string]int) string {
--- a/mustardfake/internal/mpload/run.go
+++ b/mustardfake/internal/mpload/run.go
@@ -33,6 +33,7 @@
 	Refused map[string]int          `json:"refused"`
 	Took    *hdrhistogram.Histogram `json:"-"`
 	First   *hdrhistogram.Histogram `json:"-"`
+	Gap     *hdrhistogram.Histogram `json:"-"`
 	Refusal *hdrhistogram.Histogram `json:"-"`
 }
 
@@ -40,7 +41,7 @@
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, highestMS, digits) }
 	return &Line{
 		Name: name, Outcomes: map[string]int{}, Refused: map[string]int{},
-		Took: h(), First: h(), Refusal: h(),
+		Took: h(), First: h(), Gap: h(), Refusal: h(),
 	}
 }
 
@@ -201,6 +202,9 @@
 	if d.last.kind == mppipeline.Answered {
 		_ = l.Took.RecordValue(max(d.took.Milliseconds(), 1))
 	}
+	if d.last.gap > 0 {
+		_ = l.Gap.RecordValue(max(d.last.gap.Milliseconds(), 1))
+	}
 	if d.last.first > 0 {
 		_ = l.First.RecordValue(max(d.last.first.Milliseconds(), 1))
 	}
--- a/mustardfake/internal/mpload/send.go
+++ b/mustardfake/internal/mpload/send.go
@@ -27,6 +27,8 @@
 	cause string
 	retry time.Duration
 	first time.Duration
+	// gap is the mean time between pieces of a stream.
+	gap   time.Duration
 	wrong string
 	text  string
 }
@@ -124,6 +126,7 @@
 func readStream(body io.Reader, j job, started time.Time) answer {
 	var text strings.Builder
 	var first time.Duration
+	pieces := 0
 	lines := bufio.NewScanner(body)
 	ending := false
 	for lines.Scan() {
@@ -133,8 +136,13 @@
 		case line == "event: end":
 			ending = true
 		case isData && ending:
-			return endStream(data, text.String(), first, j)
+			a := endStream(data, text.String(), first, j)
+			if pieces > 1 {
+				a.gap = (time.Since(started) - first) / time.Duration(pieces-1)
+			}
+			return a
 		case isData:
+			pieces++
 			if first == 0 {
 				first = time.Since(started)
 			}
--- a/mustardfake/internal/mpsoak/soak_test.go
+++ b/mustardfake/internal/mpsoak/soak_test.go
@@ -355,6 +355,42 @@
 	}
 }
 
+// TestRollingLeave lets every VM in turn leave and come back under load. No
+// request may be cut or lost for it, and each VM must be gone within the longest
+// deadline of any class after the addresses that named it were forgotten.
+func TestRollingLeave(t *testing.T) {
+	if testing.Short() {
+		t.Skip("needs built programs")
+	}
+	w := newWorld(t, 1, 31000)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := w.layout.Profile
+	p.Seed, p.Rate, p.Duration, p.Resend = 3, 80, time.Hour, 0
+	result := make(chan mpload.Summary, 1)
+	go func() { result <- mpload.Run(ctx, p) }()
+	for _, one := range w.vms {
+		w.end(one, syscall.SIGTERM)
+		w.start(one)
+		w.await(settleIn, one.vm+" is back", func() bool {
+			return w.up() == len(w.vms) && w.votersUp() == w.voters()
+		})
+	}
+	cancel()
+	s := <-result
+	var table bytes.Buffer
+	_ = s.Print(&table)
+	t.Logf("all of %d VMs restarted\n%s", len(w.vms), &table)
+	for _, kind := range []string{"lost", "failed", "unknown"} {
+		if n := s.Total.Outcomes[kind]; n > 0 {
+			t.Errorf("%d requests ended as %s while VMs left", n, kind)
+		}
+	}
+	for _, b := range append(w.breaches, s.Breaches...) {
+		t.Errorf("breach: %s", b)
+	}
+}
+
 // recover ends all faults and waits until the deployment is whole again.
 func (w *world) recover() {
 	w.cuts.heal()
