--- a/core/connection/mpcaller/mpcaller_test.go
+++ b/core/connection/mpcaller/mpcaller_test.go
@@ -167,7 +167,7 @@
 	s := newServer(t)
 	s.leased = false
 	resp, p := s.post("rules", `{"input":"q"}`, nil)
-	if resp.StatusCode != 503 || p.Outcome != mppipeline.NotRun || p.Cause != "lease" || resp.Header.Get("Retry-After") == "" {
+	if resp.StatusCode != http.StatusServiceUnavailable || p.Outcome != mppipeline.NotRun || p.Cause != "lease" || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d, %+v, Retry-After %q", resp.StatusCode, p, resp.Header.Get("Retry-After"))
 	}
 	_, p = s.post("result", "x", map[string]string{KeyHeader: "1-a"})
@@ -218,7 +218,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprint(conn, "POST /v1/entries/rules HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{")
+	_, _ = fmt.Fprint(conn, "POST /v1/entries/rules HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{")
 	_ = conn.Close()
 	if s.door.Running() != 0 {
 		t.Error("half a request is counted as running")
--- a/core/connection/mppeer/client.go
+++ b/core/connection/mppeer/client.go
@@ -87,7 +87,6 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithUnaryInterceptor(c.authenticate),
 		grpc.WithStatsHandler(traffic{c.cfg.Metrics}),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
--- a/core/connection/mppeer/server.go
+++ b/core/connection/mppeer/server.go
@@ -42,7 +42,6 @@
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.UnaryInterceptor(authorize(cfg.Secret)),
 		grpc.StatsHandler(traffic{cfg.Metrics}),
--- a/core/process/mpdisk/store_test.go
+++ b/core/process/mpdisk/store_test.go
@@ -144,7 +144,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer s.Close()
+		defer func() { _ = s.Close() }()
 		if err := s.WriteSnapshot(mpquorum.Snapshot{Index: 9, Data: []byte("state")}); err != nil {
 			t.Fatal(err)
 		}
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -87,7 +87,7 @@
 		ReleaseWebsocketPayload: true,
 		ServerExecutor:          func(f func()) { go f() },
 	})
-	s.engine.Engine.OnData(s.receive)
+	s.engine.OnData(s.receive)
 	return s
 }
 
--- a/core/process/mpquorum/random_test.go
+++ b/core/process/mpquorum/random_test.go
@@ -344,7 +344,7 @@
 
 func (c *cluster) actions() map[string]func(*rapid.T) {
 	some := func(t *rapid.T) int { return rapid.IntRange(0, len(c.flight)-1).Draw(t, "message") }
-	deliver := func(t *rapid.T) {
+	deliver := func(*rapid.T) {
 		for range 8 {
 			if len(c.flight) > 0 {
 				c.deliver(0, false, false, true)
--- a/core/request/mppermit/random_test.go
+++ b/core/request/mppermit/random_test.go
@@ -202,7 +202,7 @@
 
 // pass gives the group to a new owner. Every VM that acts registers what it
 // holds; a frozen one does not, and its permits end with its lease.
-func (w *world) pass(t *rapid.T) {
+func (w *world) pass(*rapid.T) {
 	w.epoch++
 	w.take(w.group.Close())
 	w.asked = map[Attempt]Ask{}
--- a/mustardfake/internal/mpsoak/soak_test.go
+++ b/mustardfake/internal/mpsoak/soak_test.go
@@ -224,7 +224,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return resp.StatusCode, err
@@ -438,6 +438,6 @@
 	if err != nil {
 		return r, false
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	return r, json.NewDecoder(resp.Body).Decode(&r) == nil
 }
