mppermit: Prefer others to an upstream that fails often

An upstream whose recent answers fail often gets work only when no other has room; a failed answer says when to come back.

--- a/core/request/mppermit/group.go
+++ b/core/request/mppermit/group.go
@@ -385,18 +385,27 @@
 	return nil, false
 }
 
-// choose returns the upstream that a should go to now, or nil. An ask with a
-// prefix follows rendezvous hashing with bounded load (Mirrokni, Thorup and
-// Zadimoghaddam, 2018); others go to the least loaded upstream.
+// choose returns the upstream that a should go to now, or nil: a suspect one
+// only when no other has room.
 func (g *Group) choose(now time.Time, a Ask) *slot {
 	if a.Alone {
 		return g.chooseAlone(now, a)
 	}
+	if s := g.chooseFrom(now, a, false); s != nil {
+		return s
+	}
+	return g.chooseFrom(now, a, true)
+}
+
+// chooseFrom returns the best upstream, suspect or not. An ask with a prefix
+// follows rendezvous hashing with bounded load (Mirrokni, Thorup and
+// Zadimoghaddam, 2018); others go to the least loaded upstream.
+func (g *Group) chooseFrom(now time.Time, a Ask, suspect bool) *slot {
 	if a.Prefix != 0 {
 		bound := g.bound(now)
 		for _, name := range mpcatalogue.Rank(a.Prefix, g.names) {
 			s := g.slots[name]
-			if s.isOpen(now) && !a.Avoid.Has(name) && float64(len(s.held)) < bound*float64(s.limit) {
+			if s.isOpen(now) && s.isSuspect(now) == suspect && !a.Avoid.Has(name) && float64(len(s.held)) < bound*float64(s.limit) {
 				return s
 			}
 		}
@@ -404,7 +413,7 @@
 	var best *slot
 	for _, name := range g.names {
 		s := g.slots[name]
-		if !s.isOpen(now) || a.Avoid.Has(name) {
+		if !s.isOpen(now) || s.isSuspect(now) != suspect || a.Avoid.Has(name) {
 			continue
 		}
 		if best == nil || s.load() < best.load() {
--- a/core/request/mppermit/slot.go
+++ b/core/request/mppermit/slot.go
@@ -9,6 +9,11 @@
 	slowFactor      = 4
 	slowStreak      = 3
 	tookWeight      = 0.1
+	errorWeight     = 0.15
+	// suspectAt is the part of failed answers from which others are preferred,
+	// and suspectFor how long that lasts after the last failure.
+	suspectAt  = 0.2
+	suspectFor = 5 * time.Second
 	// quietLimit is how long an upstream may be silent before its limit must be
 	// confirmed: it may have restarted meanwhile without anyone noticing.
 	quietLimit = 500 * time.Millisecond
@@ -27,6 +32,8 @@
 	held     map[Attempt]hold
 	alone    bool
 	reserved bool
+	errors   float64
+	failedAt time.Time
 	// unsure holds the limit back to Cold until an answer of the same instance
 	// confirms it.
 	unsure  bool
@@ -58,6 +65,12 @@
 	return s.mayServe(now) && !s.reserved && len(s.held) < s.capacity()
 }
 
+// isSuspect reports whether so many answers failed lately that others are to
+// be preferred.
+func (s *slot) isSuspect(now time.Time) bool {
+	return s.errors > suspectAt && now.Sub(s.failedAt) < suspectFor
+}
+
 // mayServe reports whether the upstream gets work at now and shares it.
 func (s *slot) mayServe(now time.Time) bool {
 	return s.inService(now) && !s.alone
@@ -130,8 +143,11 @@
 	}
 	switch e.End {
 	case Done:
+		s.errors -= errorWeight * s.errors
 		s.succeed(e, h)
 	case Failed:
+		s.errors += errorWeight * (1 - s.errors)
+		s.failedAt = now
 		s.failures++
 		if s.failures >= breakerFailures || s.probing {
 			s.open(now)
--- a/core/request/mppipeline/runner.go
+++ b/core/request/mppipeline/runner.go
@@ -267,6 +267,9 @@
 		out.Kind = Unknown
 	case errors.Is(err, mperror.ErrPoison):
 		out.Status = http.StatusUnprocessableEntity
+	case errors.Is(err, mperror.ErrAnswer), errors.Is(err, mperror.ErrCrashed):
+		// The retry budget may be spent; the caller may come back once it has grown.
+		out.Retry = failedRetry
 	case isOverload(err):
 		out.Status = http.StatusServiceUnavailable
 		out.Retry = max(retry, shortestRetry)
@@ -276,7 +279,10 @@
 	return out
 }
 
-const shortestRetry = 100 * time.Millisecond
+const (
+	shortestRetry = 100 * time.Millisecond
+	failedRetry   = 250 * time.Millisecond
+)
 
 func isOverload(err error) bool {
 	return errors.Is(err, mperror.ErrFull) || errors.Is(err, mperror.ErrLate) ||
