--- a/core/connection/mpcaller/mpcaller.go
+++ b/core/connection/mpcaller/mpcaller.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -19,7 +18,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpadmit"
 	"mustardpost.org/core/request/mppipeline"
@@ -438,80 +436,3 @@
 	level.Info(c.cfg.Logger).Log("msg", "request", "request", formatID(req.ID), "entry", req.Entry.Name,
 		"account", req.Account.Name, "revision", req.View.Revision(), "outcome", out.Kind, "cause", out.Cause, "text", out.Text)
 }
-
-var errStream = errors.New("stream to caller broken")
-
-// stream writes generated text to the caller as server-sent events.
-type stream struct {
-	w       http.ResponseWriter
-	started bool
-	hash    *xxhash.Digest
-	length  int
-}
-
-// newStream returns nil when the caller did not ask for a stream or the entry
-// does not end with a generation.
-func newStream(w http.ResponseWriter, req mppipeline.Request) *stream {
-	last, _ := req.View.Catalogue().Pool(req.Entry.Stages[len(req.Entry.Stages)-1].Pool)
-	if !req.Input.Stream || last.Kind != mpcatalogue.Generate {
-		return nil
-	}
-	return &stream{w: w, hash: xxhash.New()}
-}
-
-type textEvent struct {
-	Text string `json:"text"`
-}
-
-// EndEvent closes a stream; without it an answer is not whole.
-type EndEvent struct {
-	Outcome mppipeline.Kind `json:"outcome"`
-	Cause   string          `json:"cause,omitempty"`
-	Text    string          `json:"text,omitempty"`
-	Length  int             `json:"length"`
-	Hash    string          `json:"hash"`
-}
-
-func (s *stream) begin() {
-	if s.started {
-		return
-	}
-	s.started = true
-	s.w.Header().Set("Content-Type", "text/event-stream")
-	s.w.Header().Set("Transfer-Encoding", "chunked")
-	s.w.WriteHeader(http.StatusOK)
-}
-
-func (s *stream) emit(text string) error {
-	s.begin()
-	_, _ = s.hash.WriteString(text)
-	s.length += len(text)
-	return s.event("", textEvent{text})
-}
-
-func (s *stream) event(name string, v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return mperror.Wrap(errStream, "%v", err)
-	}
-	var b []byte
-	if name != "" {
-		b = append(b, "event: "+name+"\n"...)
-	}
-	b = append(b, "data: "...)
-	b = append(b, data...)
-	b = append(b, "\n\n"...)
-	if _, err := s.w.Write(b); err != nil {
-		return mperror.Wrap(errStream, "%v", err)
-	}
-	if f, ok := s.w.(http.Flusher); ok {
-		f.Flush()
-	}
-	return nil
-}
-
-func (s *stream) end(out mppipeline.Outcome) {
-	s.begin()
-	end := EndEvent{Outcome: out.Kind, Cause: out.Cause, Text: out.Text, Length: s.length, Hash: formatID(s.hash.Sum64())}
-	_ = s.event("end", end)
-}
--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
@@ -108,20 +109,11 @@
 		if err := m.renew(ctx, address); err != nil {
 			m.SetLeader("")
 			level.Debug(m.cfg.Logger).Log("msg", "renewal failed", "peer", address, "err", err)
-			pause(ctx, retryPause)
+			mptime.Pause(ctx, retryPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (m *Member) renew(ctx context.Context, address string) error {
 	peer, err := m.cfg.Client.To(address)
 	if err != nil {
--- a/core/connection/mpproposer/mpproposer.go
+++ b/core/connection/mpproposer/mpproposer.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/version/mpstate"
@@ -71,7 +72,7 @@
 		case errors.Is(err, mperror.ErrInvalid):
 			return Reply{}, err
 		}
-		if !pause(ctx) {
+		if !mptime.Pause(ctx, retryPause) {
 			if doubt {
 				return Reply{}, mperror.Wrap(mperror.ErrUnknown, "commit")
 			}
@@ -80,17 +81,6 @@
 	}
 }
 
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (p *Proposer) target(next int) string {
 	if address := p.cfg.Directory.Leader(); address != "" {
 		return address
--- a/core/connection/mpreport/mpreport.go
+++ b/core/connection/mpreport/mpreport.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mpowner"
 	"mustardpost.org/core/request/mppermit"
 	"mustardpost.org/core/version/mpview"
@@ -49,21 +50,16 @@
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	t := time.NewTicker(pollEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		c := p.cfg.Current().Catalogue()
-		for _, group := range p.cfg.Owner.Groups() {
-			for _, name := range c.Group(group) {
-				u, _ := c.Upstream(name)
-				if pool, _ := c.Pool(u.Pool); pool.Report != "" {
-					go p.poll(ctx, group, name, "http://"+u.Address+pool.Report)
-				}
+	mptime.Every(ctx, pollEvery, func(time.Time) { p.pollAll(ctx) })
+}
+
+func (p *Poller) pollAll(ctx context.Context) {
+	c := p.cfg.Current().Catalogue()
+	for _, group := range p.cfg.Owner.Groups() {
+		for _, name := range c.Group(group) {
+			u, _ := c.Upstream(name)
+			if pool, _ := c.Pool(u.Pool); pool.Report != "" {
+				go p.poll(ctx, group, name, "http://"+u.Address+pool.Report)
 			}
 		}
 	}
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/connection/mpwire"
@@ -230,47 +231,31 @@
 // Run carries out the leader's duties, wherever the leader is, until ctx ends.
 func (l *Lead) Run(ctx context.Context) {
 	if l.cfg.Platform != nil {
-		go l.followPlatform(ctx)
+		go mptime.Every(ctx, platformEvery, func(time.Time) { l.followPlatform(ctx) })
 	}
-	t := time.NewTicker(dutyEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	mptime.Every(ctx, dutyEvery, func(now time.Time) {
 		if !l.IsLeading() || !l.isQuorate() {
-			continue
+			return
 		}
-		if err := l.duties(ctx, time.Now()); err != nil {
+		if err := l.duties(ctx, now); err != nil {
 			level.Warn(l.cfg.Logger).Log("msg", "leader's duty failed", "err", err)
 		}
-	}
+	})
 }
 
 // followPlatform marks the machines that begin or cease to leave.
 func (l *Lead) followPlatform(ctx context.Context) {
-	t := time.NewTicker(platformEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if !l.IsLeading() || !l.isQuorate() {
-			continue
-		}
-		rows, err := l.cfg.Platform.List(ctx)
-		if err != nil {
-			level.Warn(l.cfg.Logger).Log("msg", "platform list", "err", err)
-			continue
-		}
-		for _, mark := range mpplatform.Marks(rows, l.cfg.Machine.View()) {
-			if err := l.change(ctx, mark); err != nil {
-				level.Warn(l.cfg.Logger).Log("msg", "mark of machine", "machine", mark.Name, "err", err)
-			}
+	if !l.IsLeading() || !l.isQuorate() {
+		return
+	}
+	rows, err := l.cfg.Platform.List(ctx)
+	if err != nil {
+		level.Warn(l.cfg.Logger).Log("msg", "platform list", "err", err)
+		return
+	}
+	for _, mark := range mpplatform.Marks(rows, l.cfg.Machine.View()) {
+		if err := l.change(ctx, mark); err != nil {
+			level.Warn(l.cfg.Logger).Log("msg", "mark of machine", "machine", mark.Name, "err", err)
 		}
 	}
 }
--- a/core/process/mpowner/mpowner.go
+++ b/core/process/mpowner/mpowner.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mppermit"
 	"mustardpost.org/core/version/mpcatalogue"
@@ -273,16 +274,9 @@
 
 // Run lets time pass for all groups until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			o.each(func(_ string, c *cell) { c.deliver(c.group.Tick(now)) })
-		}
-	}
+	mptime.Every(ctx, tickEvery, func(now time.Time) {
+		o.each(func(_ string, c *cell) { c.deliver(c.group.Tick(now)) })
+	})
 }
 
 func (o *Owner) each(f func(name string, c *cell)) {
--- a/core/request/mpattempt/broker.go
+++ b/core/request/mpattempt/broker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpowner"
@@ -266,7 +267,7 @@
 		if !ok || b.tryRegister(row, revision, groups, known) == nil {
 			return
 		}
-		pause(b.ctx)
+		mptime.Pause(b.ctx, retryPause)
 	}
 }
 
@@ -329,15 +330,6 @@
 	return err
 }
 
-func pause(ctx context.Context) {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // queue passes a settlement on to the line of the group's present owner.
 func (b *Broker) queue(group string, e mppermit.Settlement) {
 	b.forward(settlement{group, e, b.cfg.Clock().Add(settleFor)})
@@ -411,7 +403,7 @@
 	if len(later) == 0 {
 		return
 	}
-	pause(b.ctx)
+	mptime.Pause(b.ctx, retryPause)
 	now := b.cfg.Clock()
 	for _, s := range later {
 		if now.Before(s.until) {
--- a/core/request/mppipeline/stage.go
+++ b/core/request/mppipeline/stage.go
@@ -9,6 +9,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpset"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/request/mpattempt"
 	"mustardpost.org/core/request/mppermit"
@@ -143,7 +144,7 @@
 		if !isPassing(last) || s.left() < acquirePause || ctx.Err() != nil {
 			return mpattempt.Permit{}, last
 		}
-		s.pause(ctx, max(last.Retry, acquirePause))
+		mptime.Pause(ctx, min(max(last.Retry, acquirePause), s.left()))
 	}
 }
 
@@ -156,15 +157,6 @@
 
 func (s *stage) left() time.Duration { return s.req.Deadline.Sub(s.cfg.Clock()) }
 
-func (s *stage) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(min(d, max(s.left(), 0)))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // round asks the groups in the order of their cost. A refusal that will pass
 // goes before others, since waiting for it can help.
 func (s *stage) round(ctx context.Context, patience time.Duration) (mpattempt.Permit, *mpattempt.Refusal) {
