--- /dev/null
+++ b/core/connection/mpupstream/mpupstream_test.go
@@ -0,0 +1,146 @@
+package mpupstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"mustardpost.org/core/common/mperror"
+)
+
+const (
+	whole = `data: {"choices":[{"text":"a"}]}` + "\n\n" + `data: {"choices":[{"text":"b","finish_reason":"stop"}]}` + "\n\n"
+	done  = "data: [DONE]\n\n"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func call(address string) Call {
+	return Call{Address: address, Method: http.MethodPost, Path: "/", Attempt: 7, Left: time.Second}
+}
+
+func checkFailure(t *testing.T, f *Failure, want error, sent bool) {
+	t.Helper()
+	switch {
+	case want == nil && f != nil:
+		t.Errorf("failed: %v", f)
+	case want != nil && f == nil:
+		t.Errorf("a whole answer, want %v", want)
+	case f != nil && (!errors.Is(f, want) || f.Sent != sent):
+		t.Errorf("failed with %v, sent %t, want %v, sent %t", f, f.Sent, want, sent)
+	}
+}
+
+// hijack drops the connection after it has written text.
+func hijack(w http.ResponseWriter, text string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
+}
+
+func TestStream(t *testing.T) {
+	endless := func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			if _, err := fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%q}]}\n\n", strings.Repeat("x", 32<<10)); err != nil {
+				return
+			}
+		}
+	}
+	write := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+	}
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    error
+	}{
+		{"whole", write(whole + done), nil},
+		{"without the closing event", write(whole), mperror.ErrCrashed},
+		{"without a finish reason", write(`data: {"choices":[{"text":"a"}]}` + "\n\n" + done), mperror.ErrAnswer},
+		{"broken event", write("data: {\n\n" + done), mperror.ErrAnswer},
+		{"event that is too long", write("data: " + strings.Repeat("x", 2*maxEvent)), mperror.ErrAnswer},
+		{"endless", endless, mperror.ErrAnswer},
+		{"dropped in the middle", func(w http.ResponseWriter, _ *http.Request) {
+			hijack(w, "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n"+whole)
+		}, mperror.ErrCrashed},
+		{"dropped before the head", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "") }, mperror.ErrCrashed},
+		{"refused for its load", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, mperror.ErrFull},
+		{"error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, mperror.ErrAnswer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var got strings.Builder
+			_, _, f := New().Stream(context.Background(), call(serve(t, c.handler)), func(text string) error {
+				got.WriteString(text)
+				return nil
+			})
+			checkFailure(t, f, c.want, true)
+			if c.want == nil && got.String() != "ab" {
+				t.Errorf("text %q, want ab", got.String())
+			}
+			if got.Len() > maxText {
+				t.Errorf("%d bytes passed on, more than the bound", got.Len())
+			}
+		})
+	}
+}
+
+func TestDo(t *testing.T) {
+	t.Run("an answer to another attempt", func(t *testing.T) {
+		c := call(serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(AttemptHeader, "0000000000000008")
+		}))
+		c.Echo = true
+		_, f := New().Do(context.Background(), c)
+		checkFailure(t, f, mperror.ErrAnswer, true)
+	})
+	t.Run("an answer to this attempt", func(t *testing.T) {
+		c := call(serve(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
+		}))
+		c.Echo = true
+		_, f := New().Do(context.Background(), c)
+		checkFailure(t, f, nil, true)
+	})
+	t.Run("an answer without end", func(t *testing.T) {
+		_, f := New().Do(context.Background(), call(serve(t, func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+					return
+				}
+			}
+		})))
+		checkFailure(t, f, mperror.ErrAnswer, true)
+	})
+	t.Run("nothing listens", func(t *testing.T) {
+		_, f := New().Do(context.Background(), call("127.0.0.1:1"))
+		checkFailure(t, f, mperror.ErrCrashed, false)
+	})
+	t.Run("a non-idempotent call is not repeated by the transport", func(t *testing.T) {
+		seen := 0
+		c := call(serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			seen++
+			hijack(w, "")
+		}))
+		c.Once, c.Method = true, http.MethodPut
+		_, f := New().Do(context.Background(), c)
+		checkFailure(t, f, mperror.ErrCrashed, true)
+		if seen != 1 {
+			t.Errorf("the upstream saw %d calls, want 1", seen)
+		}
+	})
+}
--- /dev/null
+++ b/mustardfake/commands/platform.go
@@ -0,0 +1,24 @@
+package commands
+
+import (
+	"net/http"
+
+	"github.com/urfave/cli/v2"
+)
+
+func platform() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve the platform's list of VMs from FILE, which may change meanwhile",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Required: true, Usage: "JSON `FILE`: [{\"vm\":\"...\",\"state\":\"live|leaving\"}]"},
+			&cli.StringFlag{Name: "listen", Required: true, Usage: "`ADDRESS` to serve it at"},
+		},
+		Action: func(c *cli.Context) error {
+			file := c.String("file")
+			return http.ListenAndServe(c.String("listen"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				http.ServeFile(w, r, file)
+			}))
+		},
+	}
+}
--- a/mustardfake/internal/mpsoak/faults_test.go
+++ b/mustardfake/internal/mpsoak/faults_test.go
@@ -31,6 +31,7 @@
 		{"poison", w.poison},
 		{"race", w.race},
 		{"order", w.order},
+		{"lose data centre", w.loseDC},
 	}
 	one := kinds[w.rand.IntN(len(kinds))]
 	w.faults[one.name]++
@@ -78,6 +79,38 @@
 	return func() { w.start(p) }
 }
 
+// loseDC loses a data centre without notice: its VMs and upstreams at once.
+func (w *world) loseDC() func() {
+	dc := w.layout.DCs[w.rand.IntN(len(w.layout.DCs))]
+	var lost []*process
+	for i, p := range w.vms {
+		if w.layout.VMs[i].DC != dc {
+			continue
+		}
+		if !p.wanted || p.frozen {
+			return nothing
+		}
+		lost = append(lost, p)
+	}
+	if w.votersUp() != w.voters() {
+		return nothing
+	}
+	w.losses++
+	for _, p := range lost {
+		w.end(p, syscall.SIGKILL)
+	}
+	for _, u := range w.layout.Upstreams {
+		if u.DC == dc {
+			w.crash(u.Name)
+		}
+	}
+	return func() {
+		for _, p := range lost {
+			w.start(p)
+		}
+	}
+}
+
 func (w *world) freeze() func() {
 	p := w.victim()
 	p.frozen = true
@@ -138,12 +171,15 @@
 }
 
 func (w *world) crashUpstream() func() {
-	u := w.layout.Upstreams[w.rand.IntN(len(w.layout.Upstreams))]
-	resp, err := w.http.Post("http://"+w.layout.Control+"/crash/"+u.Name, "", nil)
+	w.crash(w.layout.Upstreams[w.rand.IntN(len(w.layout.Upstreams))].Name)
+	return nothing
+}
+
+func (w *world) crash(upstream string) {
+	resp, err := w.http.Post("http://"+w.layout.Control+"/crash/"+upstream, "", nil)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
-	return nothing
 }
 
 // takeOut takes a data centre out and checks that its upstreams get no new
--- a/mustardfake/internal/mpsoak/soak_test.go
+++ b/mustardfake/internal/mpsoak/soak_test.go
@@ -64,6 +64,7 @@
 	outs    int
 	poisons int
 	orders  int
+	losses  int
 
 	mu       sync.Mutex
 	breaches []string
@@ -345,8 +346,8 @@
 	w.checkOrders()
 	var table bytes.Buffer
 	_ = s.Print(&table)
-	t.Logf("seed %d: faults %v; %d changes checked, %d data centres out, %d poison requests, %d orders\n%s",
-		seed, w.faults, len(w.changes), w.outs, w.poisons, w.orders, &table)
+	t.Logf("seed %d: faults %v; %d changes checked, %d data centres out, %d data centres lost, %d poison requests, %d orders\n%s",
+		seed, w.faults, len(w.changes), w.outs, w.losses, w.poisons, w.orders, &table)
 	for _, b := range append(w.breaches, s.Breaches...) {
 		t.Errorf("breach: %s", b)
 	}
