--- a/mustardfake/internal/mpsoak/soak_test.go
+++ b/mustardfake/internal/mpsoak/soak_test.go
@@ -356,6 +356,38 @@
 	}
 }
 
+// TestLoseDC loses a data centre without notice under load, brings it back cold,
+// and checks that all that must hold does.
+func TestLoseDC(t *testing.T) {
+	if testing.Short() {
+		t.Skip("needs built programs")
+	}
+	w := newWorld(t, 2, 33000)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := w.layout.Profile
+	p.Seed, p.Rate, p.Duration = 4, 80, time.Hour
+	result := make(chan mpload.Summary, 1)
+	go func() { result <- mpload.Run(ctx, p) }()
+	w.pause(2000, 3000)
+	back := w.loseDC()
+	w.pause(5000, 6000)
+	back()
+	w.recover()
+	w.pause(2000, 3000)
+	cancel()
+	s := <-result
+	var table bytes.Buffer
+	_ = s.Print(&table)
+	t.Logf("%d data centre lost and back\n%s", w.losses, &table)
+	if w.losses != 1 {
+		t.Errorf("%d data centres lost, want 1", w.losses)
+	}
+	for _, b := range append(w.breaches, s.Breaches...) {
+		t.Errorf("breach: %s", b)
+	}
+}
+
 // TestRollingLeave lets every VM in turn leave and come back under load. No
 // request may be cut or lost for it, and each VM must be gone within the longest
 // deadline of any class after the addresses that named it were forgotten.
