mppipeline: Prepare attempts before they run beside each other

Found by reading: a hedged attempt read the flow between the stages in its own goroutine, while the winner's answer could already move it on. Attempts are now prepared one after the other. The new TestHedge covers hedges, which had no test; it did not fail with the old code (20 runs with the race detector), since the fakes' locks order the two, so the race itself is not shown.

--- a/core/request/mpattempt/baseline.go
+++ b/core/request/mpattempt/baseline.go
@@ -40,7 +40,7 @@
 		return Permit{}, &Refusal{Err: mperror.ErrEmpty}
 	}
 	name := usable[b.next.Add(1)%uint64(len(usable))]
-	return NewPermit(mppermit.Attempt(rand.Uint64()), group, name), nil
+	return NewPermit(mppermit.Attempt(rand.Uint64()), group, name, 0), nil
 }
 
 func usableOf(v *mpview.View, pool string) []string {
--- a/core/request/mpattempt/broker.go
+++ b/core/request/mpattempt/broker.go
@@ -46,9 +46,10 @@
 	instance string
 }
 
-// NewPermit returns a permit for attempt a on an upstream of group.
-func NewPermit(a mppermit.Attempt, group, upstream string) Permit {
-	return Permit{attempt: a, group: group, upstream: upstream}
+// NewPermit returns a permit for attempt a on an upstream of group, with the
+// time after which a second attempt is worth its cost.
+func NewPermit(a mppermit.Attempt, group, upstream string, hedge time.Duration) Permit {
+	return Permit{attempt: a, group: group, upstream: upstream, hedge: hedge}
 }
 
 // Attempt returns the id under which the attempt must travel.
--- a/core/request/mppipeline/pipeline_test.go
+++ b/core/request/mppipeline/pipeline_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,6 +37,7 @@
 	calls  []mpupstream.Call
 	ends   []mppermit.End
 	refuse *mpattempt.Refusal
+	hedge  time.Duration
 	// unsure makes commits fail without telling whether they took effect.
 	unsure bool
 	leased bool
@@ -57,7 +59,7 @@
 
 func (s *setup) Acquire(_ context.Context, group string, _ mppermit.Ask) (mpattempt.Permit, *mpattempt.Refusal) {
 	upstream := map[string]string{"engine@north": "up", "ladder@north": "lad"}[group]
-	return mpattempt.NewPermit(7, group, upstream), s.refuse
+	return mpattempt.NewPermit(7, group, upstream, s.hedge), s.refuse
 }
 
 func (s *setup) Settle(_ mpattempt.Permit, e mppermit.Settlement) {
@@ -281,7 +283,7 @@
 			st := &stage{run: &run{Runner: s.runner, req: req}}
 			st.pool, _ = req.View.Catalogue().Pool("engine")
 			s.leased = false
-			if res := st.send(context.Background(), mpattempt.NewPermit(7, "engine@north", "up")); !errors.Is(res.fail, mperror.ErrNoLease) {
+			if res := st.send(context.Background(), mpattempt.NewPermit(7, "engine@north", "up", 0)); !errors.Is(res.fail, mperror.ErrNoLease) {
 				t.Errorf("send = %v, want ErrNoLease", res.fail)
 			}
 			s.checkCalls(0)
@@ -345,6 +347,34 @@
 	})
 }
 
+// TestHedge checks that the first whole answer wins, that the loser is cancelled,
+// and that the next stage gets the winner's answer.
+func TestHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSetup(t, reply{delay: time.Second, body: "slow"}, reply{body: "fast"}, reply{body: "end"})
+		s.hedge = 100 * time.Millisecond
+		req := s.request("standings")
+		req.Entry.Stages = []mpcatalogue.Stage{
+			{Pool: "ladder", Path: "/a", Hedge: true}, {Pool: "ladder", Path: "/b"},
+		}
+		started := time.Now()
+		out := s.runner.Run(context.Background(), req)
+		checkKind(t, out, Answered, "")
+		if took := time.Since(started); took != 100*time.Millisecond || string(out.Answer.Body) != "end" {
+			t.Errorf("answer %q after %s, want end after 100ms", out.Answer.Body, took)
+		}
+		if got := string(s.calls[2].Body); got != "fast" {
+			t.Errorf("the second stage got %q, want the winner's answer", got)
+		}
+		synctest.Wait()
+		want := []mppermit.End{mppermit.Done, mppermit.Cancelled, mppermit.Done}
+		sort := cmp.Transformer("sorted", func(list []mppermit.End) []mppermit.End { return slices.Sorted(slices.Values(list)) })
+		if diff := cmp.Diff(want, s.ends, sort); diff != "" {
+			t.Errorf("permits (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestPoison(t *testing.T) {
 	s := newSetup(t, reply{fail: errCrash}, reply{fail: errCrash}, reply{texts: []string{"a"}})
 	checkKind(t, s.runner.Run(context.Background(), s.request("rules")), Failed, "poison")
--- a/core/request/mppipeline/send.go
+++ b/core/request/mppipeline/send.go
@@ -15,13 +15,22 @@
 
 // send carries out one attempt and returns its permit.
 func (s *stage) send(ctx context.Context, permit mpattempt.Permit) result {
-	res := result{permit: permit}
+	return s.start(permit)(ctx)
+}
+
+// start prepares an attempt and returns what carries it out. Only start reads
+// the flow between the stages, which moves on as soon as one attempt has won.
+func (s *stage) start(permit mpattempt.Permit) func(ctx context.Context) result {
 	call, fail := s.prepare(permit)
 	if fail != nil {
-		res.fail = fail
 		s.cfg.Permits.Settle(permit, mppermit.Settlement{End: mppermit.Unused})
-		return res
+		return func(context.Context) result { return result{permit: permit, fail: fail} }
 	}
+	return func(ctx context.Context) result { return s.carry(ctx, permit, call) }
+}
+
+func (s *stage) carry(ctx context.Context, permit mpattempt.Permit, call mpupstream.Call) result {
+	res := result{permit: permit}
 	started := s.cfg.Clock()
 	if s.pool.Kind == mpcatalogue.Generate {
 		res.answer, res.usage, res.fail = s.stream(ctx, call)
--- a/core/request/mppipeline/stage.go
+++ b/core/request/mppipeline/stage.go
@@ -228,7 +228,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result, 2)
-	go func() { results <- s.send(ctx, permit) }()
+	first := s.start(permit)
+	go func() { results <- first(ctx) }()
 	timer := time.NewTimer(permit.Hedge())
 	defer timer.Stop()
 	select {
@@ -236,11 +237,12 @@
 		return res
 	case <-timer.C:
 	}
-	second, ok := s.hedge(ctx)
+	hedge, ok := s.hedge(ctx)
 	if !ok {
 		return <-results
 	}
-	go func() { results <- s.send(ctx, second) }()
+	second := s.start(hedge)
+	go func() { results <- second(ctx) }()
 	res := <-results
 	if res.fail != nil {
 		res = <-results
