mpname, mpid, mpcatalogue: Let one piece serve what stood several times

Read over the whole change: the rule for names and hashes stood in the settings and in the catalogue, hashing of keys in five places, random ids and hex ids in two each, a group's pool or data centre in four, and whether an entry is non-idempotent in two. Each is one function now. Dropped: a sentinel, two accessors and two fields that nothing read. No behaviour changed; the one line changed in a test names the number 32 in place of a constant that moved.

--- a/core/common/mperror/mperror.go
+++ b/core/common/mperror/mperror.go
@@ -42,8 +42,6 @@
 	ErrUnknown = state.New("outcome unknown")
 	// ErrNotInForce marks a change that was accepted and is not in force everywhere yet.
 	ErrNotInForce = state.New("accepted, but not in force everywhere yet")
-	// ErrClosed marks use of a component after it was stopped.
-	ErrClosed = state.New("closed")
 
 	// ErrFull marks a full queue or an exhausted limit.
 	ErrFull = overload.New("full")
--- /dev/null
+++ b/core/common/mpid/mpid.go
@@ -0,0 +1,20 @@
+// Package mpid makes and prints ids.
+package mpid
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+)
+
+const idBytes = 12
+
+// New returns a random id for a change or an order.
+func New() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Hex returns n as the 16 hex digits in which ids and hashes are shown.
+func Hex(n uint64) string { return fmt.Sprintf("%016x", n) }
--- a/core/connection/mpcaller/mpcaller.go
+++ b/core/connection/mpcaller/mpcaller.go
@@ -3,8 +3,6 @@
 package mpcaller
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -18,6 +16,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mpid"
+	"mustardpost.org/core/common/mpname"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpadmit"
 	"mustardpost.org/core/request/mppipeline"
@@ -166,7 +166,7 @@
 func (c *Caller) entry(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	id := rand.Uint64()
-	w.Header().Set(RequestHeader, formatID(id))
+	w.Header().Set(RequestHeader, mpid.Hex(id))
 	req, no := c.parse(now, r)
 	if no != nil {
 		c.refuse(w, *no)
@@ -184,11 +184,6 @@
 	c.run(w, r, req)
 }
 
-func formatID(id uint64) string {
-	s := strconv.FormatUint(id, 16)
-	return strings.Repeat("0", 16-len(s)) + s
-}
-
 // parse checks the request against the view in force.
 func (c *Caller) parse(now time.Time, r *http.Request) (mppipeline.Request, *refusal) {
 	view := c.cfg.Membership.Current()
@@ -220,8 +215,7 @@
 	if !ok {
 		return mpcatalogue.Account{}, false
 	}
-	sum := sha256.Sum256([]byte(key))
-	return cat.AccountByKey(hex.EncodeToString(sum[:]))
+	return cat.AccountByKey(mpname.Hash(key))
 }
 
 func allows(e mpcatalogue.Entry, account string) bool {
@@ -278,11 +272,7 @@
 // key returns the idempotency key, which a non-idempotent entry requires. Its
 // first part is the time of its making, so that an old one can be told.
 func key(r *http.Request, e mpcatalogue.Entry) (*mppipeline.Key, *refusal) {
-	once := false
-	for _, s := range e.Stages {
-		once = once || s.Once
-	}
-	if !once {
+	if !e.IsOnce() {
 		return nil, nil
 	}
 	text := r.Header.Get(KeyHeader)
@@ -433,6 +423,6 @@
 		return
 	}
 	c.note(now, req, out.Cause)
-	level.Info(c.cfg.Logger).Log("msg", "request", "request", formatID(req.ID), "entry", req.Entry.Name,
+	level.Info(c.cfg.Logger).Log("msg", "request", "request", mpid.Hex(req.ID), "entry", req.Entry.Name,
 		"account", req.Account.Name, "revision", req.View.Revision(), "outcome", out.Kind, "cause", out.Cause, "text", out.Text)
 }
--- a/core/connection/mpcaller/stream.go
+++ b/core/connection/mpcaller/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/request/mppipeline"
 	"mustardpost.org/core/version/mpcatalogue"
 )
@@ -85,6 +86,6 @@
 
 func (s *stream) end(out mppipeline.Outcome) {
 	s.begin()
-	end := EndEvent{Outcome: out.Kind, Cause: out.Cause, Text: out.Text, Length: s.length, Hash: formatID(s.hash.Sum64())}
+	end := EndEvent{Outcome: out.Kind, Cause: out.Cause, Text: out.Text, Length: s.length, Hash: mpid.Hex(s.hash.Sum64())}
 	_ = s.event("end", end)
 }
--- a/core/connection/mpoperator/mpoperator.go
+++ b/core/connection/mpoperator/mpoperator.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"expvar"
@@ -20,6 +18,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpname"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpproposer"
 	"mustardpost.org/core/connection/mpwire"
@@ -87,8 +86,7 @@
 func (o *Operator) authorize(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		sum := sha256.Sum256([]byte(token))
-		who, ok := o.byHash[hex.EncodeToString(sum[:])]
+		who, ok := o.byHash[mpname.Hash(token)]
 		if !ok {
 			write(w, http.StatusUnauthorized, Failure{"denied", "missing or wrong operator token"})
 			return
--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpid"
 )
 
 const (
@@ -166,7 +166,7 @@
 	if call.Type != "" {
 		req.Header.Set("Content-Type", call.Type)
 	}
-	req.Header.Set(AttemptHeader, fmt.Sprintf("%016x", call.Attempt))
+	req.Header.Set(AttemptHeader, mpid.Hex(call.Attempt))
 	req.Header.Set(DeadlineHeader, strconv.FormatInt(call.Left.Milliseconds(), 10))
 	return req, nil
 }
@@ -180,7 +180,7 @@
 	case resp.StatusCode >= http.StatusInternalServerError:
 		err := mperror.Wrap(mperror.ErrAnswer, "upstream answered %d", resp.StatusCode)
 		return &Failure{Sent: true, Status: resp.StatusCode, Cold: cold, Err: err}
-	case call.Echo && resp.Header.Get(AttemptHeader) != fmt.Sprintf("%016x", call.Attempt):
+	case call.Echo && resp.Header.Get(AttemptHeader) != mpid.Hex(call.Attempt):
 		err := mperror.Wrap(mperror.ErrAnswer, "answer to another attempt %q", resp.Header.Get(AttemptHeader))
 		return &Failure{Sent: true, Err: err}
 	}
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/connection/mpcaller"
 	"mustardpost.org/core/connection/mpmember"
 	"mustardpost.org/core/connection/mpoperator"
@@ -192,7 +193,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), noteWithin)
 		defer cancel()
 		op := mpview.Note{Kind: "overload", Text: d.cfg.Settings.VM + ": " + text}
-		_, _ = d.proposer.Propose(ctx, mpstate.Change{ID: mplead.NewID(), Who: "system", Change: mpview.Change{Op: op}}, 0)
+		_, _ = d.proposer.Propose(ctx, mpstate.Change{ID: mpid.New(), Who: "system", Change: mpview.Change{Op: op}}, 0)
 	}()
 }
 
@@ -386,7 +387,7 @@
 		}
 	}
 	op := mpview.Note{Kind: "leave", Text: d.cfg.Settings.VM + " is no longer named to callers"}
-	c := mpstate.Change{ID: mplead.NewID(), Who: "system", Change: mpview.Change{Op: op}}
+	c := mpstate.Change{ID: mpid.New(), Who: "system", Change: mpview.Change{Op: op}}
 	reply, err := d.proposer.Propose(ctx, c, bound)
 	if err != nil || !reply.InForce {
 		<-ctx.Done()
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -14,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mpplatform"
@@ -296,17 +295,10 @@
 }
 
 func (l *Lead) change(ctx context.Context, op mpview.Op) error {
-	c := mpstate.Change{ID: NewID(), Who: systemAccount, Change: mpview.Change{Op: op}}
+	c := mpstate.Change{ID: mpid.New(), Who: systemAccount, Change: mpview.Change{Op: op}}
 	r, err := l.Propose(ctx, c)
 	if err != nil {
 		return err
 	}
 	return r.Err()
 }
-
-// NewID returns a random id for a change.
-func NewID() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
--- a/core/process/mpowner/mpowner.go
+++ b/core/process/mpowner/mpowner.go
@@ -16,7 +16,6 @@
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mppermit"
-	"mustardpost.org/core/version/mpcatalogue"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -41,7 +40,6 @@
 
 type cell struct {
 	group   *mppermit.Group
-	pool    string
 	waiting map[mppermit.Attempt]chan mppermit.Decision
 }
 
@@ -116,7 +114,6 @@
 		group := mppermit.NewGroup(now, cfg)
 		s.cells[name] = &cell{
 			group:   group,
-			pool:    poolOf(next.Catalogue(), name),
 			waiting: map[mppermit.Attempt]chan mppermit.Decision{},
 		}
 		level.Info(o.cfg.Logger).Log("msg", "owns group", "group", name, "epoch", own.Epoch)
@@ -130,20 +127,12 @@
 	c.deliver(c.group.Configure(now, cfg))
 }
 
-func poolOf(c *mpcatalogue.Catalogue, group string) string {
-	names := c.Group(group)
-	if len(names) == 0 {
-		return ""
-	}
-	u, _ := c.Upstream(names[0])
-	return u.Pool
-}
-
 func (o *Owner) describe(now time.Time, name string, own mpview.Ownership, v *mpview.View) mppermit.Config {
+	pool, _ := v.Catalogue().Place(name)
 	cfg := mppermit.Config{
 		Epoch: own.Epoch,
 		Grace: o.cfg.Lease + graceExtra,
-		Quiet: o.quietUntil(now, poolOf(v.Catalogue(), name), v),
+		Quiet: o.quietUntil(now, pool, v),
 		Fresh: own.Fresh,
 	}
 	for _, u := range v.Catalogue().Group(name) {
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -119,7 +119,6 @@
 	mu       sync.RWMutex
 	status   Status
 	leadSeat mpquorum.Seat
-	failure  error
 }
 
 // New restores the state machine from what the disk held and returns a
@@ -475,9 +474,6 @@
 func (r *Replica) fail(err error) {
 	level.Error(r.cfg.Logger).Log("msg", "replica stopped", "err", err)
 	r.failAll(mperror.ErrUnknown)
-	r.mu.Lock()
-	r.failure = err
-	r.mu.Unlock()
 }
 
 func (r *Replica) publish() {
--- a/core/process/mpsettings/mpsettings.go
+++ b/core/process/mpsettings/mpsettings.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,11 +12,11 @@
 	"net/url"
 	"os"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpname"
 )
 
 const (
@@ -32,7 +31,6 @@
 	leastElection   = 100
 	defaultLog      = 16 << 20
 	leastSecret     = 16
-	hashBytes       = 32
 )
 
 // Voter names a VM that holds replicated state.
@@ -204,11 +202,9 @@
 	c.problems = append(c.problems, Problem{key, value, allowed})
 }
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-
 func (c *checker) name(key, value string) {
-	if !namePattern.MatchString(value) {
-		c.add(key, fmt.Sprintf("%q", value), "1 to 63 of a-z, 0-9, dot, hyphen, underscore")
+	if !mpname.IsValid(value) {
+		c.add(key, fmt.Sprintf("%q", value), mpname.Allowed)
 	}
 }
 
@@ -225,7 +221,7 @@
 }
 
 func (c *checker) hash(key, value string) {
-	if sum, err := hex.DecodeString(value); err != nil || len(sum) != hashBytes {
+	if !mpname.IsHash(value) {
 		c.add(key, fmt.Sprintf("%q", value), "the hex SHA-256 of the token")
 	}
 }
--- a/core/request/mpattempt/baseline.go
+++ b/core/request/mpattempt/baseline.go
@@ -30,12 +30,8 @@
 // Acquire returns a permit for the next upstream of the group's pool.
 func (b *Baseline) Acquire(_ context.Context, group string, _ mppermit.Ask) (Permit, *Refusal) {
 	v := b.view.Current()
-	names := v.Catalogue().Group(group)
-	if len(names) == 0 {
-		return Permit{}, &Refusal{Err: mperror.ErrEmpty}
-	}
-	first, _ := v.Catalogue().Upstream(names[0])
-	usable := usableOf(v, first.Pool)
+	pool, _ := v.Catalogue().Place(group)
+	usable := usableOf(v, pool)
 	if len(usable) == 0 {
 		return Permit{}, &Refusal{Err: mperror.ErrEmpty}
 	}
--- a/core/request/mppipeline/flow.go
+++ b/core/request/mppipeline/flow.go
@@ -1,16 +1,15 @@
 package mppipeline
 
 import (
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/version/mpcatalogue"
 	"mustardpost.org/core/version/mpstate"
@@ -245,7 +244,7 @@
 }
 
 func hashOf(data []byte) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64(data))
+	return mpid.Hex(xxhash.Sum64(data))
 }
 
 func (f *flow) outcome() Outcome {
@@ -275,11 +274,3 @@
 	}
 	return out
 }
-
-func newID() string {
-	var b [12]byte
-	for i := range b {
-		b[i] = byte(rand.Uint32())
-	}
-	return hex.EncodeToString(b[:])
-}
--- a/core/request/mppipeline/runner.go
+++ b/core/request/mppipeline/runner.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/request/mpadmit"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/version/mpstate"
@@ -64,7 +65,7 @@
 
 // Run runs req to its outcome. It returns at the latest at the deadline.
 func (r *Runner) Run(ctx context.Context, req Request) Outcome {
-	once := isOnce(req)
+	once := req.Entry.IsOnce()
 	if once {
 		// A caller that goes away does not stop what must not be repeated.
 		ctx = context.WithoutCancel(ctx)
@@ -88,15 +89,6 @@
 	}
 }
 
-func isOnce(req Request) bool {
-	for _, s := range req.Entry.Stages {
-		if s.Once {
-			return true
-		}
-	}
-	return false
-}
-
 // claimed runs a non-idempotent request under a claim, which is committed
 // before anything is sent.
 func (x *run) claimed(ctx context.Context) Outcome {
@@ -252,7 +244,7 @@
 }
 
 func change(op mpview.Op) mpstate.Change {
-	return mpstate.Change{ID: newID(), Who: "system", Change: mpview.Change{Op: op}}
+	return mpstate.Change{ID: mpid.New(), Who: "system", Change: mpview.Change{Op: op}}
 }
 
 // giveUp returns the outcome of a request that cannot go on.
@@ -263,7 +255,7 @@
 		out.Kind = NotRun
 		out.Status = http.StatusServiceUnavailable
 		out.Retry = max(retry, shortestRetry)
-	case isOnce(x.req):
+	case x.req.Entry.IsOnce():
 		out.Kind = Unknown
 	case errors.Is(err, mperror.ErrPoison):
 		out.Status = http.StatusUnprocessableEntity
--- a/core/request/mppipeline/stage.go
+++ b/core/request/mppipeline/stage.go
@@ -14,6 +14,7 @@
 	"mustardpost.org/core/request/mpattempt"
 	"mustardpost.org/core/request/mppermit"
 	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mpview"
 )
 
 const (
@@ -163,7 +164,7 @@
 	var worst *mpattempt.Refusal
 	view := s.cfg.Membership.Current()
 	for _, group := range s.route() {
-		if view.IsOut("dc", dcOf(view.Catalogue(), group)) {
+		if _, dc := view.Catalogue().Place(group); view.IsOut(mpview.TargetDC, dc) {
 			continue
 		}
 		p, refusal := s.cfg.Permits.Acquire(ctx, group, s.ask(patience, false))
@@ -186,15 +187,6 @@
 	return s.req.View.Catalogue().Route(s.pool.Name, s.cfg.DC)
 }
 
-func dcOf(c *mpcatalogue.Catalogue, group string) string {
-	names := c.Group(group)
-	if len(names) == 0 {
-		return ""
-	}
-	u, _ := c.Upstream(names[0])
-	return u.DC
-}
-
 func (s *stage) ask(patience time.Duration, hedge bool) mppermit.Ask {
 	return mppermit.Ask{
 		Account:  s.req.Account.Name,
--- a/core/version/mpcatalogue/catalogue.go
+++ b/core/version/mpcatalogue/catalogue.go
@@ -203,6 +203,17 @@
 // Group returns the names of the upstreams in a group.
 func (c *Catalogue) Group(name string) []string { return c.byGroup[name] }
 
+// Place returns the pool and the data centre of a group, or "" for a group
+// without upstreams.
+func (c *Catalogue) Place(group string) (pool, dc string) {
+	names := c.byGroup[group]
+	if len(names) == 0 {
+		return "", ""
+	}
+	u := c.upstreams[names[0]]
+	return u.Pool, u.DC
+}
+
 // Route returns the pool's groups as seen from data centre dc: its own first,
 // then by link cost, then by name.
 func (c *Catalogue) Route(pool, dc string) []string {
--- a/core/version/mpcatalogue/catalogue_test.go
+++ b/core/version/mpcatalogue/catalogue_test.go
@@ -11,7 +11,7 @@
 	"mustardpost.org/core/common/mperror"
 )
 
-var testKey = strings.Repeat("ab", keyBytes)
+var testKey = strings.Repeat("ab", 32)
 
 func testDocument() Document {
 	return Document{
--- a/core/version/mpcatalogue/check.go
+++ b/core/version/mpcatalogue/check.go
@@ -1,12 +1,11 @@
 package mpcatalogue
 
 import (
-	"encoding/hex"
 	"net/netip"
-	"regexp"
 	"strings"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpname"
 )
 
 const (
@@ -14,11 +13,8 @@
 	maxStages   = 16
 	maxLimit    = 100_000
 	maxWeight   = 1000
-	keyBytes    = 32
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-
 func invalid(row, format string, args ...any) error {
 	return mperror.Wrap(mperror.Wrap(mperror.ErrInvalid, format, args...), "%s", row)
 }
@@ -37,8 +33,8 @@
 }
 
 func checkName(kind, name string) error {
-	if !namePattern.MatchString(name) {
-		return invalid(kind+"/"+name, "a name has 1 to 63 of a-z, 0-9, dot, hyphen, underscore")
+	if !mpname.IsValid(name) {
+		return invalid(kind+"/"+name, "a name has %s", mpname.Allowed)
 	}
 	return nil
 }
@@ -137,7 +133,7 @@
 		if err := checkName("account", r.Name); err != nil {
 			return err
 		}
-		if sum, err := hex.DecodeString(r.Key); err != nil || len(sum) != keyBytes {
+		if !mpname.IsHash(r.Key) {
 			return invalid(name, "key is not a hex SHA-256")
 		}
 		if other, ok := keys[r.Key]; ok {
--- a/core/version/mpcatalogue/document.go
+++ b/core/version/mpcatalogue/document.go
@@ -3,6 +3,8 @@
 // returns a new one that passed every check, or an error that names the row.
 package mpcatalogue
 
+import "slices"
+
 // StageKind tells which protocol a pool's upstreams speak.
 type StageKind string
 
@@ -117,6 +119,11 @@
 	Stages []Stage `json:"stages"`
 }
 
+// IsOnce reports whether a stage of the entry must not be repeated.
+func (e Entry) IsOnce() bool {
+	return slices.ContainsFunc(e.Stages, func(s Stage) bool { return s.Once })
+}
+
 // Document is a catalogue, or a part of one, as operators write it.
 type Document struct {
 	Classes   []Class    `json:"classes,omitempty"`
--- a/core/version/mpview/plan.go
+++ b/core/version/mpview/plan.go
@@ -15,7 +15,7 @@
 	groups := v.Catalogue().Groups()
 	byDC, all := candidates(v)
 	for _, g := range groups {
-		dc := groupDC(v.Catalogue(), g)
+		_, dc := v.Catalogue().Place(g)
 		if len(all) == 0 || settled(v, g, dc, len(byDC[dc]) > 0) {
 			continue
 		}
@@ -57,12 +57,3 @@
 	}
 	return vm.DC == dc || !local
 }
-
-func groupDC(c *mpcatalogue.Catalogue, group string) string {
-	names := c.Group(group)
-	if len(names) == 0 {
-		return ""
-	}
-	u, _ := c.Upstream(names[0])
-	return u.DC
-}
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -74,9 +74,6 @@
 	return ok
 }
 
-// OutSince returns the revision of the mark that took the target out.
-func (v *View) OutSince(t Target, name string) uint64 { return v.out[markKey(t, name)] }
-
 // VM returns the row of the VM called name, if it is up.
 func (v *View) VM(name string) (VM, bool) {
 	r, ok := v.vms[name]
@@ -119,9 +116,6 @@
 	return !leaving && !v.IsOut(TargetUpstream, u.Name) && !v.IsOut(TargetDC, u.DC)
 }
 
-// Touched returns the revision that last changed a row, given as kind/name.
-func (v *View) Touched(key string) uint64 { return v.touched[key] }
-
 // Conflict returns ErrConflict when op touches a row that changed after
 // revision base. A base of 0 is not checked.
 func (v *View) Conflict(base uint64, op Op) error {
--- a/mustardfake/internal/mpsample/write.go
+++ b/mustardfake/internal/mpsample/write.go
@@ -1,14 +1,13 @@
 package mpsample
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpname"
 	"mustardpost.org/core/process/mpsettings"
 	"mustardpost.org/core/version/mpcatalogue"
 	"mustardpost.org/mustardfake/internal/mpfake"
@@ -61,11 +60,6 @@
 	Upstreams []mpcatalogue.Upstream
 }
 
-func hashOf(text string) string {
-	sum := sha256.Sum256([]byte(text))
-	return hex.EncodeToString(sum[:])
-}
-
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // Write writes the sample called name below dir.
@@ -122,7 +116,7 @@
 			Operator: address(port + operatorPort),
 			Peer:     address(port + peerPort),
 			Secret:   secret,
-			Tokens:   []mpsettings.Token{{Who: "operator", Hash: hashOf(Token)}},
+			Tokens:   []mpsettings.Token{{Who: "operator", Hash: mpname.Hash(Token)}},
 			Strict:   o.Strict,
 			Baseline: o.Baseline,
 		}
@@ -176,7 +170,7 @@
 		}
 	}
 	for _, a := range s.accounts {
-		doc.Accounts = append(doc.Accounts, mpcatalogue.Account{Name: a.Name, Key: hashOf(a.Key), Weight: 1})
+		doc.Accounts = append(doc.Accounts, mpcatalogue.Account{Name: a.Name, Key: mpname.Hash(a.Key), Weight: 1})
 	}
 	for _, e := range s.entries {
 		doc.Entries = append(doc.Entries, e.entry)
--- a/mustardpost/commands/app.go
+++ b/mustardpost/commands/app.go
@@ -10,8 +10,8 @@
 	"github.com/urfave/cli/v2"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/connection/mpoperator"
-	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/mustardpost/internal/mpclient"
 )
 
@@ -57,7 +57,7 @@
 func send(c *cli.Context, change mpoperator.Change) error {
 	change.ID = c.String("id")
 	if change.ID == "" {
-		change.ID = mplead.NewID()
+		change.ID = mpid.New()
 	}
 	wait := c.Duration("wait")
 	change.Wait = int(wait.Milliseconds())
--- a/mustardpost/commands/orders.go
+++ b/mustardpost/commands/orders.go
@@ -6,7 +6,7 @@
 	"github.com/urfave/cli/v2"
 
 	"mustardpost.org/core/common/mperror"
-	"mustardpost.org/core/process/mplead"
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/version/mpstate"
 )
 
@@ -28,7 +28,7 @@
 		ID: c.String("id"), Upstream: c.Args().Get(0), Action: mpstate.Action(c.Args().Get(1)), Name: c.Args().Get(2),
 	}
 	if o.ID == "" {
-		o.ID = mplead.NewID()
+		o.ID = mpid.New()
 	}
 	out, err := client(c).Order(c.Context, o)
 	if err != nil {
--- a/mustardpost/commands/settings.go
+++ b/mustardpost/commands/settings.go
@@ -1,12 +1,11 @@
 package commands
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 
 	"github.com/urfave/cli/v2"
 
+	"mustardpost.org/core/common/mpname"
 	"mustardpost.org/core/process/mpsettings"
 )
 
@@ -39,8 +38,7 @@
 			if err != nil {
 				return err
 			}
-			sum := sha256.Sum256([]byte(text))
-			_, err = fmt.Fprintln(c.App.Writer, hex.EncodeToString(sum[:]))
+			_, err = fmt.Fprintln(c.App.Writer, mpname.Hash(text))
 			return err
 		},
 	}
