--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -27,12 +29,15 @@
 
 // Config holds what a Member needs from outside.
 type Config struct {
-	Self   mpview.VM
-	Voters []string
+	Self mpview.VM
+	// Voters returns the peer addresses of VMs that may know the leader.
+	Voters func() []string
 	Client *mppeer.Client
 	Logger log.Logger
 	// OnView is told each new view, in order, before Current returns it.
 	OnView func(now time.Time, old, next *mpview.View)
+	// OnList is told each new list of upstreams; nil where none is followed.
+	OnList func(now time.Time, list *mplist.List)
 }
 
 // Member is one VM's part in the deployment.
@@ -42,6 +47,7 @@
 
 	mu      sync.RWMutex
 	view    *mpview.View
+	list    *mplist.List
 	leaving bool
 	leader  string
 	changed chan struct{}
@@ -103,7 +109,8 @@
 	for next := 0; ctx.Err() == nil; {
 		address := m.Leader()
 		if address == "" {
-			address = m.cfg.Voters[next%len(m.cfg.Voters)]
+			voters := m.candidates()
+			address = voters[next%len(voters)]
 			next++
 		}
 		if err := m.renew(ctx, address); err != nil {
@@ -114,6 +121,18 @@
 	}
 }
 
+// candidates returns where the leader may be asked for: at the configured
+// voters and at those that the view names.
+func (m *Member) candidates() []string {
+	out := slices.Clone(m.cfg.Voters())
+	for _, vm := range m.Current().VMs() {
+		if vm.Voter && !slices.Contains(out, vm.Peer) {
+			out = append(out, vm.Peer)
+		}
+	}
+	return out
+}
+
 func (m *Member) renew(ctx context.Context, address string) error {
 	peer, err := m.cfg.Client.To(address)
 	if err != nil {
@@ -131,6 +150,9 @@
 		return mperror.ErrNotLeader
 	}
 	m.SetLeader(address)
+	if err := m.takeList(reply); err != nil {
+		return err
+	}
 	if err := m.advance(reply); err != nil {
 		m.lease.Drop()
 		return err
@@ -151,9 +173,30 @@
 		Peer:     m.cfg.Self.Peer,
 		Revision: m.view.Revision(),
 		Leaving:  m.leaving,
+		Voter:    m.cfg.Self.Voter,
+		Listed:   m.list.Hash(),
 	}
 }
 
+// takeList replaces the list of upstreams by the one that a renewal carried.
+func (m *Member) takeList(reply *mpwire.RenewReply) error {
+	if len(reply.GetUpstreams()) == 0 {
+		return nil
+	}
+	now := time.Now()
+	list, err := mplist.Decode(now, reply.GetUpstreams(), reply.GetListed())
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.list = list
+	m.mu.Unlock()
+	if m.cfg.OnList != nil {
+		m.cfg.OnList(now, list)
+	}
+	return nil
+}
+
 // advance applies what a renewal carried. The revision never falls: a reply
 // that would lower it is an error.
 func (m *Member) advance(reply *mpwire.RenewReply) error {
--- a/core/connection/mpproposer/mpproposer.go
+++ b/core/connection/mpproposer/mpproposer.go
@@ -33,7 +33,8 @@
 type Config struct {
 	Client    *mppeer.Client
 	Directory Directory
-	Voters    []string
+	// Voters returns the peer addresses of VMs that may know the leader.
+	Voters func() []string
 }
 
 // Proposer commits commands. It is safe for concurrent use.
@@ -85,7 +86,8 @@
 	if address := p.cfg.Directory.Leader(); address != "" {
 		return address
 	}
-	return p.cfg.Voters[next%len(p.cfg.Voters)]
+	voters := p.cfg.Voters()
+	return voters[next%len(voters)]
 }
 
 func (p *Proposer) try(ctx context.Context, address string, req *mpwire.ProposeRequest, force time.Duration) (Reply, error) {
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,14 +20,12 @@
 	"mustardpost.org/core/connection/mpproposer"
 	"mustardpost.org/core/connection/mpreport"
 	"mustardpost.org/core/connection/mpupstream"
-	"mustardpost.org/core/process/mpdisk"
 	"mustardpost.org/core/process/mphttp"
 	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mporder"
 	"mustardpost.org/core/process/mpowner"
-	"mustardpost.org/core/process/mpquorum"
-	"mustardpost.org/core/process/mpreplica"
+	"mustardpost.org/core/process/mpseat"
 	"mustardpost.org/core/process/mpsettings"
 	"mustardpost.org/core/process/mpvoter"
 	"mustardpost.org/core/request/mpadmit"
@@ -39,8 +36,7 @@
 )
 
 const (
-	heartbeatPart = 4
-	retryRatio    = 0.08
+	retryRatio = 0.08
 	// unboundedRatio is that of the baseline, which retries without a budget.
 	unboundedRatio = 4.0
 	operatorBody   = 16 << 20
@@ -53,15 +49,6 @@
 	Logger   log.Logger
 }
 
-// voter is the part of a process that holds replicated state.
-type voter struct {
-	id      mpdisk.Identity
-	replica *mpreplica.Replica
-	machine *mpstate.Machine
-	lead    *mplead.Lead
-	store   *mpdisk.Store
-}
-
 // Daemon is the process of one VM.
 type Daemon struct {
 	cfg      Config
@@ -77,7 +64,7 @@
 	callers  *mphttp.Server
 	operator *mphttp.Server
 	peers    *mppeer.Server
-	voter    atomic.Pointer[voter]
+	seats    *mpseat.Service
 }
 
 // New assembles a process. ctx bounds all work in its background.
@@ -88,11 +75,12 @@
 		boot:    rand.Uint64() | 1,
 		metrics: mpmetric.New(),
 		door:    mpadmit.New(mpadmit.Config{Requests: s.Requests}),
+		seats:   &mpseat.Service{Votes: s.IsVoter()},
 	}
 	d.client = mppeer.NewClient(mppeer.Config{Secret: s.Secret, Source: s.Source(), Metrics: d.metrics})
 	d.member = mpmember.New(mpmember.Config{
 		Self:   mpview.VM{Name: s.VM, DC: s.DC, Boot: d.boot, Address: s.Caller, Peer: s.Peer},
-		Voters: s.VoterPeers(),
+		Voters: s.VoterPeers,
 		Client: d.client,
 		Logger: cfg.Logger,
 		OnView: d.onView,
@@ -108,7 +96,7 @@
 	d.broker = mpattempt.New(ctx, mpattempt.Config{
 		VM: s.VM, Local: d.owner, Client: d.client, Metrics: d.metrics, Clock: time.Now,
 	})
-	d.proposer = mpproposer.New(mpproposer.Config{Client: d.client, Directory: d.member, Voters: s.VoterPeers()})
+	d.proposer = mpproposer.New(mpproposer.Config{Client: d.client, Directory: d.member, Voters: s.VoterPeers})
 	d.assembleServers()
 	d.publish()
 	return d
@@ -171,8 +159,8 @@
 	d.metrics.Gauge("running", func() any { return d.door.Running() })
 	d.metrics.Gauge("held", func() any { return d.broker.Held() })
 	d.metrics.Gauge("claims", func() any {
-		if v := d.voter.Load(); v != nil {
-			return v.machine.Claims()
+		if v := d.seats.Seat(); v != nil {
+			return v.Machine().Claims()
 		}
 		return 0
 	})
@@ -208,7 +196,7 @@
 	d.peers, err = mppeer.Serve(mppeer.ServerConfig{
 		Address: d.cfg.Settings.Listen(),
 		Secret:  d.cfg.Settings.Secret,
-		Peer:    &peer{d: d},
+		Peer:    &peer{Service: d.seats, d: d},
 		Metrics: d.metrics,
 	})
 	if err != nil {
@@ -221,11 +209,11 @@
 	defer d.operator.Stop()
 	failed := make(chan error, 1)
 	if d.cfg.Settings.IsVoter() {
-		v, err := d.startVoter(ctx, leave, failed)
+		v, err := d.startSeat(ctx, leave, failed)
 		if err != nil {
 			return err
 		}
-		defer v.stop()
+		defer v.Stop()
 	}
 	go d.owner.Run(ctx)
 	go d.member.Run(ctx)
@@ -246,75 +234,38 @@
 	}
 }
 
-func (d *Daemon) startVoter(ctx, leave context.Context, failed chan error) (*voter, error) {
+// startSeat brings up this VM's part in the replicated state.
+func (d *Daemon) startSeat(ctx, leave context.Context, failed chan error) (*mpseat.Seat, error) {
 	s := d.cfg.Settings
-	vcfg := mpvoter.Config{Settings: s, Client: d.client, Logger: d.cfg.Logger}
-	id, err := mpvoter.Open(leave, vcfg)
-	if err != nil {
-		return nil, err
-	}
-	store, loaded, err := mpdisk.Open(s.Data)
-	if err != nil {
-		return nil, err
+	cfg := mpseat.Config{
+		Voter: mpvoter.Config{
+			VM:      s.VM,
+			Address: s.Peer,
+			Data:    s.Data,
+			Seeds:   s.VoterPeers,
+			Founds:  func() bool { return s.Voters[0].VM == s.VM },
+			Client:  d.client,
+			Logger:  d.cfg.Logger,
+		},
+		Segment:  s.Segment,
+		Election: s.ElectionSpan(),
+		Lease:    s.LeaseSpan(),
+		Quorate:  len(s.Voters)/2 + 1,
+		Client:   d.client,
+		Logger:   d.cfg.Logger,
 	}
-	if loaded.Cut > 0 {
-		level.Warn(d.cfg.Logger).Log("msg", "torn tail of the log cut", "bytes", loaded.Cut)
+	if s.Platform != "" {
+		cfg.Platform = mpplatform.New(s.Platform)
 	}
-	v := &voter{id: id, machine: mpstate.New(), store: store}
-	var lead atomic.Pointer[mplead.Lead]
-	v.replica, err = mpreplica.New(mpreplica.Config{
-		Self:       id.Member,
-		Address:    s.Peer,
-		Store:      store,
-		Loaded:     loaded,
-		Machine:    v.machine,
-		Sender:     mppeer.NewSender(ctx, d.client, func(replies []mpquorum.Envelope) { v.replica.Deliver(replies) }),
-		Logger:     d.cfg.Logger,
-		SnapshotAt: int64(s.Segment),
-		Quorum: mpquorum.Config{
-			Election:  s.ElectionSpan(),
-			Heartbeat: s.ElectionSpan() / heartbeatPart,
-			Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			Now:       time.Now(),
-		},
-		OnLeading: func(now time.Time, leading bool) {
-			if l := lead.Load(); l != nil {
-				l.SetLeading(now, leading)
-			}
-		},
-	})
+	v, err := mpseat.Start(ctx, leave, cfg, failed)
 	if err != nil {
 		return nil, err
 	}
-	lcfg := mplead.Config{
-		Replica: v.replica,
-		Machine: v.machine,
-		Logger:  d.cfg.Logger,
-		Lease:   s.LeaseSpan(),
-		Quorate: len(s.Voters)/2 + 1,
-	}
-	if s.Platform != "" {
-		lcfg.Platform = mpplatform.New(s.Platform)
-	}
-	v.lead = mplead.New(lcfg)
-	lead.Store(v.lead)
-	go func() {
-		if err := v.replica.Run(); err != nil {
-			failed <- err
-		}
-	}()
-	d.voter.Store(v)
-	go mpvoter.Enroll(ctx, vcfg, id, v.replica)
-	go v.lead.Run(ctx)
-	go mporder.New(mporder.Config{Machine: v.machine, Lead: v.lead, Logger: d.cfg.Logger}).Run(ctx)
+	d.seats.SetSeat(v)
+	go mporder.New(mporder.Config{Machine: v.Machine(), Lead: v.Lead(), Logger: d.cfg.Logger}).Run(ctx)
 	return v, nil
 }
 
-func (v *voter) stop() {
-	v.replica.Stop()
-	_ = v.store.Close()
-}
-
 const (
 	leaveStep = 20 * time.Millisecond
 	// leaveExtra lets the last answers reach their callers before the process ends.
@@ -341,8 +292,8 @@
 	started := time.Now()
 	d.member.Leave()
 	d.callers.Leave()
-	if v := d.voter.Load(); v != nil {
-		v.replica.Transfer()
+	if v := d.seats.Seat(); v != nil {
+		v.Replica().Transfer()
 	}
 	d.announce(ctx)
 	lastNamed := time.Now()
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -18,6 +18,7 @@
 	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpreplica"
+	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
 )
@@ -30,6 +31,8 @@
 	marginFloor   = 50 * time.Millisecond
 	holdPart      = 4
 	platformEvery = time.Second
+	// listEvery leaves most of the platform's drain notice for the VMs.
+	listEvery     = 700 * time.Millisecond
 	systemAccount = "system"
 )
 
@@ -44,6 +47,13 @@
 	Quorate int
 	// Platform is the platform's list of VMs; nil where there is none.
 	Platform *mpplatform.Client
+	// Upstreams reads the platform's list of upstreams; nil where there is none.
+	Upstreams Lister
+}
+
+// Lister reads the platform's list of upstreams.
+type Lister interface {
+	List(ctx context.Context) ([]mplist.Row, error)
 }
 
 // Lead serves the leader's calls at every voter; elsewhere than at the leader
@@ -54,11 +64,14 @@
 	mu      sync.Mutex
 	tracker *mplease.Tracker
 	since   time.Time
+	// list is the newest reading of the upstreams; listed is closed when it changes.
+	list   *mplist.List
+	listed chan struct{}
 }
 
 // New returns a Lead for one voter.
 func New(cfg Config) *Lead {
-	l := &Lead{cfg: cfg}
+	l := &Lead{cfg: cfg, listed: make(chan struct{})}
 	l.SetLeading(time.Now(), false)
 	return l
 }
@@ -103,7 +116,7 @@
 	l.mu.Lock()
 	l.tracker.Confirm(r.GetVm(), r.GetRevision())
 	l.mu.Unlock()
-	l.hold(ctx, r.GetRevision())
+	l.hold(ctx, r)
 	if !l.IsLeading() {
 		return &mpwire.RenewReply{Leader: l.cfg.Replica.Leader().Address}, nil
 	}
@@ -120,12 +133,17 @@
 		return nil, mperror.Wrap(err, "changes after %d", r.GetRevision())
 	}
 	l.tracker.Grant(time.Now(), r.GetVm(), at)
-	return &mpwire.RenewReply{
+	reply := &mpwire.RenewReply{
 		LeaseMs:  uint32(l.cfg.Lease.Milliseconds()),
 		Revision: at,
 		Changes:  changes,
 		View:     whole,
-	}, nil
+	}
+	if l.list.Hash() != 0 && l.list.Hash() != r.GetListed() {
+		reply.Listed = l.list.Hash()
+		reply.Upstreams, err = l.list.Encode(time.Now())
+	}
+	return reply, err
 }
 
 // admit puts a VM that is new, restarted or leaving on the view.
@@ -137,6 +155,7 @@
 		Address: r.GetAddress(),
 		Peer:    r.GetPeer(),
 		Leaving: r.GetLeaving(),
+		Voter:   r.GetVoter(),
 	}
 	have, ok := l.cfg.Machine.View().VM(row.Name)
 	if ok && have == row {
@@ -157,15 +176,20 @@
 	l.tracker.Grant(time.Now(), vm, 0)
 }
 
-func (l *Lead) hold(ctx context.Context, revision uint64) {
+// hold waits until there is something that the VM lacks.
+func (l *Lead) hold(ctx context.Context, r *mpwire.RenewRequest) {
 	changed := l.cfg.Machine.Changed()
-	if l.cfg.Machine.View().Revision() != revision {
+	l.mu.Lock()
+	list, listed := l.list, l.listed
+	l.mu.Unlock()
+	if l.cfg.Machine.View().Revision() != r.GetRevision() || list.Hash() != 0 && list.Hash() != r.GetListed() {
 		return
 	}
 	t := time.NewTimer(l.cfg.Lease / holdPart)
 	defer t.Stop()
 	select {
 	case <-changed:
+	case <-listed:
 	case <-t.C:
 	case <-ctx.Done():
 	}
@@ -232,6 +256,9 @@
 	if l.cfg.Platform != nil {
 		go mptime.Every(ctx, platformEvery, func(time.Time) { l.followPlatform(ctx) })
 	}
+	if l.cfg.Upstreams != nil {
+		go mptime.Every(ctx, listEvery, func(time.Time) { l.followUpstreams(ctx) })
+	}
 	mptime.Every(ctx, dutyEvery, func(now time.Time) {
 		if !l.IsLeading() || !l.isQuorate() {
 			return
@@ -259,6 +286,29 @@
 	}
 }
 
+// followUpstreams reads the list of upstreams and wakes the renewals that wait
+// when it has changed.
+func (l *Lead) followUpstreams(ctx context.Context) {
+	if !l.IsLeading() {
+		return
+	}
+	rows, err := l.cfg.Upstreams.List(ctx)
+	if err != nil {
+		level.Warn(l.cfg.Logger).Log("msg", "list of upstreams not read", "err", err)
+		return
+	}
+	next := mplist.New(time.Now(), rows)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := next.Hash() != l.list.Hash()
+	l.list = next
+	if changed {
+		level.Info(l.cfg.Logger).Log("msg", "list of upstreams changed", "rows", len(rows), "hash", next.Hash())
+		close(l.listed)
+		l.listed = make(chan struct{})
+	}
+}
+
 func (l *Lead) duties(ctx context.Context, now time.Time) error {
 	view := l.cfg.Machine.View()
 	if gone := l.expired(now, view); len(gone) > 0 {
--- /dev/null
+++ b/core/process/mpseat/mpseat.go
@@ -0,0 +1,127 @@
+// Package mpseat runs the part of a process that holds replicated state, and
+// answers the calls that other VMs make to it.
+package mpseat
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpplatform"
+	"mustardpost.org/core/process/mpdisk"
+	"mustardpost.org/core/process/mplead"
+	"mustardpost.org/core/process/mpquorum"
+	"mustardpost.org/core/process/mpreplica"
+	"mustardpost.org/core/process/mpvoter"
+	"mustardpost.org/core/version/mpstate"
+)
+
+const heartbeatPart = 4
+
+// Config holds what a Seat needs from outside.
+type Config struct {
+	Voter mpvoter.Config
+	// Segment is the length of the log file, in bytes, that starts a snapshot.
+	Segment int
+	// Election is the timeout after which a silent leader is replaced.
+	Election time.Duration
+	// Lease is the span of the leases granted to VMs.
+	Lease time.Duration
+	// Quorate is the number of voters without which no change is accepted.
+	Quorate int
+	// Platform is the platform's list of VMs; nil where there is none.
+	Platform *mpplatform.Client
+	// Upstreams reads the platform's list of upstreams; nil where there is none.
+	Upstreams mplead.Lister
+	Client    *mppeer.Client
+	Logger    log.Logger
+}
+
+// Seat is this process's part in the replicated state.
+type Seat struct {
+	id      mpdisk.Identity
+	replica *mpreplica.Replica
+	machine *mpstate.Machine
+	lead    *mplead.Lead
+	store   *mpdisk.Store
+}
+
+// Replica returns the member of the replicated log.
+func (s *Seat) Replica() *mpreplica.Replica { return s.replica }
+
+// Machine returns the replicated state.
+func (s *Seat) Machine() *mpstate.Machine { return s.machine }
+
+// Lead returns the duties of the leader.
+func (s *Seat) Lead() *mplead.Lead { return s.lead }
+
+// Start opens the data folder and runs the seat until ctx ends. It may wait
+// for other voters until leave ends. What stops the seat later is sent to failed.
+func Start(ctx, leave context.Context, cfg Config, failed chan<- error) (*Seat, error) {
+	id, err := mpvoter.Open(leave, cfg.Voter)
+	if err != nil {
+		return nil, err
+	}
+	store, loaded, err := mpdisk.Open(cfg.Voter.Data)
+	if err != nil {
+		return nil, err
+	}
+	if loaded.Cut > 0 {
+		level.Warn(cfg.Logger).Log("msg", "torn tail of the log cut", "bytes", loaded.Cut)
+	}
+	s := &Seat{id: id, machine: mpstate.New(), store: store}
+	var lead atomic.Pointer[mplead.Lead]
+	s.replica, err = mpreplica.New(mpreplica.Config{
+		Self:       id.Member,
+		Address:    cfg.Voter.Address,
+		Store:      store,
+		Loaded:     loaded,
+		Machine:    s.machine,
+		Sender:     mppeer.NewSender(ctx, cfg.Client, func(replies []mpquorum.Envelope) { s.replica.Deliver(replies) }),
+		Logger:     cfg.Logger,
+		SnapshotAt: int64(cfg.Segment),
+		Quorum: mpquorum.Config{
+			Election:  cfg.Election,
+			Heartbeat: cfg.Election / heartbeatPart,
+			Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Now:       time.Now(),
+		},
+		OnLeading: func(now time.Time, leading bool) {
+			if l := lead.Load(); l != nil {
+				l.SetLeading(now, leading)
+			}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.lead = mplead.New(mplead.Config{
+		Replica:   s.replica,
+		Machine:   s.machine,
+		Logger:    cfg.Logger,
+		Lease:     cfg.Lease,
+		Quorate:   cfg.Quorate,
+		Platform:  cfg.Platform,
+		Upstreams: cfg.Upstreams,
+	})
+	lead.Store(s.lead)
+	go func() {
+		if err := s.replica.Run(); err != nil {
+			failed <- err
+		}
+	}()
+	go mpvoter.Enroll(ctx, cfg.Voter, id, s.replica)
+	go s.lead.Run(ctx)
+	return s, nil
+}
+
+// Stop ends the replica and releases the data folder.
+func (s *Seat) Stop() {
+	s.replica.Stop()
+	_ = s.store.Close()
+}
--- /dev/null
+++ b/core/process/mpstage/owner.go
@@ -0,0 +1,211 @@
+// Package mpstage makes the pieces of stages. Each pool of upstreams that make
+// pieces has one owner among the VMs, which batches the pieces of all requests;
+// the other VMs ask it. Owners need no agreement: a piece may be made again, so
+// two owners at once only cost work, and a silent one is passed over.
+package mpstage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/version/mproute"
+)
+
+const (
+	// freeEvery gathers the results to free into one call an upstream.
+	freeEvery  = 40 * time.Millisecond
+	freeWithin = 500 * time.Millisecond
+)
+
+// Caller carries out calls to upstreams.
+type Caller interface {
+	// Run makes the pieces of one call.
+	Run(ctx context.Context, now time.Time, call mpbatch.Call) mpbatch.Outcome
+	// Free tells the makers of results that nobody needs them.
+	Free(ctx context.Context, handles []string) error
+}
+
+// OwnerConfig holds what an Owner needs from outside.
+type OwnerConfig struct {
+	Caller  Caller
+	Metrics *mpmetric.Set
+	Logger  log.Logger
+	Clock   func() time.Time
+}
+
+// Owner batches the pieces of the pools that this VM owns.
+type Owner struct {
+	cfg OwnerConfig
+	ctx context.Context
+
+	mu    sync.Mutex
+	lines map[string]*line
+	table *mproute.Table
+	ups   map[string][]mpbatch.Upstream
+}
+
+// line is one pool's group with its lock.
+type line struct {
+	o    *Owner
+	pool string
+	kick chan struct{}
+
+	mu    sync.Mutex
+	group *mpbatch.Group
+	size  int
+}
+
+// NewOwner returns an owner whose work ends with ctx.
+func NewOwner(ctx context.Context, cfg OwnerConfig) *Owner {
+	return &Owner{cfg: cfg, ctx: ctx, lines: map[string]*line{}}
+}
+
+// Set replaces the plan and the upstreams that may get calls, by pool.
+func (o *Owner) Set(table *mproute.Table, ups map[string][]mpbatch.Upstream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table, o.ups = table, ups
+	for pool, l := range o.lines {
+		o.fill(l, pool)
+	}
+}
+
+func (o *Owner) fill(l *line, pool string) {
+	p := o.table.Pool(pool)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p != nil && p.Spec().Batch != nil {
+		l.group.SetSpec(*p.Spec().Batch)
+	}
+	l.group.SetUpstreams(o.ups[pool])
+	l.wake()
+}
+
+func (o *Owner) line(pool string) (*line, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if l, ok := o.lines[pool]; ok {
+		return l, nil
+	}
+	if o.table == nil || o.table.Pool(pool) == nil || o.table.Pool(pool).Spec().Batch == nil {
+		return nil, mperror.Wrap(mperror.ErrNotFound, "pool %s", pool)
+	}
+	spec := *o.table.Pool(pool).Spec().Batch
+	l := &line{o: o, pool: pool, kick: make(chan struct{}, 1), group: mpbatch.New(mpbatch.Config{Spec: spec}), size: spec.Size}
+	o.lines[pool] = l
+	o.fill(l, pool)
+	go l.run()
+	return l, nil
+}
+
+// Make returns the results of ask once they are all made.
+func (o *Owner) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]string, error) {
+	l, err := o.line(pool)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	j, err := l.group.Add(o.cfg.Clock(), ask)
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	l.wake()
+	select {
+	case <-j.Done():
+	case <-ctx.Done():
+		l.mu.Lock()
+		l.group.Cancel(j)
+		l.mu.Unlock()
+		l.wake()
+		return nil, ctx.Err()
+	}
+	return j.Handles()
+}
+
+// Free gives up results that this owner or another one made.
+func (o *Owner) Free(pool string, handles []string) {
+	l, err := o.line(pool)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	l.group.Free(handles)
+	l.mu.Unlock()
+	l.wake()
+}
+
+func (l *line) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run starts calls whenever something has changed, and frees results.
+func (l *line) run() {
+	wait := time.NewTimer(time.Hour)
+	defer wait.Stop()
+	var freeing *time.Timer
+	for {
+		select {
+		case <-l.o.ctx.Done():
+			return
+		case <-l.kick:
+		case <-wait.C:
+		}
+		now := l.o.cfg.Clock()
+		l.mu.Lock()
+		calls := l.group.Next(now)
+		at := l.group.Wake(now)
+		l.mu.Unlock()
+		for _, c := range calls {
+			go l.call(c)
+		}
+		if !at.IsZero() {
+			wait.Reset(max(at.Sub(now), time.Millisecond))
+		}
+		if freeing == nil {
+			freeing = time.AfterFunc(freeEvery, l.free)
+		} else {
+			freeing.Reset(freeEvery)
+		}
+	}
+}
+
+func (l *line) call(c mpbatch.Call) {
+	begun := l.o.cfg.Clock()
+	ctx, cancel := context.WithTimeout(l.o.ctx, c.Most)
+	defer cancel()
+	out := l.o.cfg.Caller.Run(ctx, begun, c)
+	now := l.o.cfg.Clock()
+	l.o.cfg.Metrics.Add("batch.calls", 1)
+	l.o.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
+	_ = level.Info(l.o.cfg.Logger).Log("msg", "batch", "pool", l.pool, "upstream", c.Upstream.ID, "pieces", len(c.Items),
+		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending)
+	l.mu.Lock()
+	l.group.Finish(now, c.ID, out)
+	l.mu.Unlock()
+	l.wake()
+}
+
+func (l *line) free() {
+	l.mu.Lock()
+	handles := l.group.TakeFreed()
+	l.mu.Unlock()
+	if len(handles) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(l.o.ctx, freeWithin)
+	defer cancel()
+	if err := l.o.cfg.Caller.Free(ctx, handles); err != nil {
+		_ = level.Warn(l.o.cfg.Logger).Log("msg", "results not freed", "pool", l.pool, "results", len(handles), "err", err)
+	}
+}
--- /dev/null
+++ b/core/process/mpstage/router.go
@@ -0,0 +1,240 @@
+package mpstage
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/version/mpview"
+)
+
+const (
+	// probeEvery and probeWithin find an owner that is frozen or cut off while
+	// it holds a request: far sooner than the request's aim.
+	probeEvery  = 200 * time.Millisecond
+	probeWithin = 250 * time.Millisecond
+	// silentFor is how long an owner that did not answer is passed over.
+	silentFor = 3 * time.Second
+	// mostOwners bounds how many owners one stage is asked of.
+	mostOwners = 3
+	// freeAnswer bounds the call that frees results.
+	freeAnswer = 500 * time.Millisecond
+)
+
+var errSilent = mperror.Wrap(mperror.ErrUnknown, "owner does not answer")
+
+// RouterConfig holds what a Router needs from outside.
+type RouterConfig struct {
+	VM     string
+	Local  *Owner
+	Client *mppeer.Client
+	View   func() *mpview.View
+	Logger log.Logger
+	Clock  func() time.Time
+}
+
+// Router asks the owner of each pool. It is safe for concurrent use.
+type Router struct {
+	cfg RouterConfig
+
+	mu     sync.Mutex
+	silent map[string]time.Time
+}
+
+// NewRouter returns a router.
+func NewRouter(cfg RouterConfig) *Router {
+	return &Router{cfg: cfg, silent: map[string]time.Time{}}
+}
+
+// owners returns the VMs that may own pool, best first: the rendezvous order
+// of those that serve callers, silent ones last.
+func (r *Router) owners(now time.Time, pool string) []mpview.VM {
+	view := r.cfg.View()
+	var out []mpview.VM
+	for _, vm := range view.VMs() {
+		if vm.Address != "" && view.Serves(vm) {
+			out = append(out, vm)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rank := func(vm mpview.VM) uint64 {
+		h := xxhash.Sum64String(pool + "\x00" + vm.Name)
+		if now.Before(r.silent[vm.Name]) {
+			h >>= 32
+		} else {
+			h |= 1 << 63
+		}
+		return h
+	}
+	slices.SortFunc(out, func(a, b mpview.VM) int {
+		if rank(a) > rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (r *Router) noteSilent(now time.Time, vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent[vm] = now.Add(silentFor)
+}
+
+// Make returns the results of ask from the owner of pool, or from the next VM
+// in order when the owner does not answer.
+func (r *Router) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]string, error) {
+	err := mperror.Wrap(mperror.ErrEmpty, "no owner for %s", pool)
+	owners := r.owners(r.cfg.Clock(), pool)
+	if len(owners) == 0 {
+		return r.cfg.Local.Make(ctx, pool, ask)
+	}
+	for _, vm := range owners[:min(len(owners), mostOwners)] {
+		if vm.Name == r.cfg.VM {
+			return r.cfg.Local.Make(ctx, pool, ask)
+		}
+		var handles []string
+		handles, err = r.ask(ctx, vm, pool, ask)
+		if !errors.Is(err, mperror.ErrUnknown) || ctx.Err() != nil {
+			return handles, err
+		}
+		r.noteSilent(r.cfg.Clock(), vm.Name)
+		_ = level.Warn(r.cfg.Logger).Log("msg", "owner passed over", "pool", pool, "vm", vm.Name, "id", ask.Request, "err", err)
+	}
+	return nil, err
+}
+
+func (r *Router) ask(ctx context.Context, vm mpview.VM, pool string, ask mpbatch.Ask) ([]string, error) {
+	peer, err := r.cfg.Client.To(vm.Peer)
+	if err != nil {
+		return nil, mperror.Wrap(mperror.ErrUnknown, "%v", err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go r.watch(ctx, peer, cancel)
+	reply, err := peer.Make(ctx, encode(r.cfg.Clock(), pool, ask))
+	if err != nil {
+		if errors.Is(context.Cause(ctx), errSilent) {
+			return nil, errSilent
+		}
+		return nil, mperror.Wrap(mperror.ErrUnknown, "%v", err)
+	}
+	return decode(reply)
+}
+
+// watch probes the owner while it holds an ask, and cancels when it is silent.
+func (r *Router) watch(ctx context.Context, peer mpwire.PeerClient, cancel context.CancelCauseFunc) {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		probe, stop := context.WithTimeout(ctx, probeWithin)
+		_, _ = peer.Probe(probe, &mpwire.ProbeRequest{})
+		silent := errors.Is(probe.Err(), context.DeadlineExceeded)
+		stop()
+		if silent {
+			cancel(errSilent)
+			return
+		}
+	}
+}
+
+// Free tells the owner of pool that results are not needed any more.
+func (r *Router) Free(pool string, handles []string) {
+	owners := r.owners(r.cfg.Clock(), pool)
+	if len(owners) == 0 || owners[0].Name == r.cfg.VM {
+		r.cfg.Local.Free(pool, handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeAnswer)
+		defer cancel()
+		peer, err := r.cfg.Client.To(owners[0].Peer)
+		if err == nil {
+			_, err = peer.Free(ctx, &mpwire.FreeRequest{Pool: pool, Handles: handles})
+		}
+		if err != nil {
+			r.cfg.Local.Free(pool, handles)
+		}
+	}()
+}
+
+func left(now, at time.Time) uint32 {
+	return uint32(min(max(at.Sub(now).Milliseconds(), 0), math.MaxInt32))
+}
+
+func encode(now time.Time, pool string, a mpbatch.Ask) *mpwire.MakeRequest {
+	return &mpwire.MakeRequest{
+		Pool:     pool,
+		Request:  a.Request,
+		Stage:    uint32(a.Stage),
+		Pieces:   uint32(a.Count),
+		Key:      a.Key,
+		Inputs:   a.Inputs,
+		Bytes:    uint32(a.Bytes),
+		Priority: int32(a.Priority),
+		LeftMs:   left(now, a.Deadline),
+		AimMs:    left(now, a.Aim),
+		Dc:       a.DC,
+	}
+}
+
+// Serve answers another VM's call to make pieces.
+func (o *Owner) Serve(ctx context.Context, r *mpwire.MakeRequest) *mpwire.MakeReply {
+	now := o.cfg.Clock()
+	handles, err := o.Make(ctx, r.GetPool(), mpbatch.Ask{
+		Request:  r.GetRequest(),
+		Stage:    int(r.GetStage()),
+		Count:    int(r.GetPieces()),
+		Key:      r.GetKey(),
+		Inputs:   r.GetInputs(),
+		Bytes:    int(r.GetBytes()),
+		Priority: int(r.GetPriority()),
+		Aim:      now.Add(time.Duration(r.GetAimMs()) * time.Millisecond),
+		Deadline: now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond),
+		DC:       r.GetDc(),
+	})
+	reply := &mpwire.MakeReply{Handles: handles}
+	switch {
+	case err == nil:
+	case errors.Is(err, mperror.ErrLate):
+		reply.Cause = mpwire.MakeReply_LATE
+	case errors.Is(err, mperror.ErrEmpty):
+		reply.Cause = mpwire.MakeReply_FULL
+	case errors.Is(err, mperror.ErrNotFound):
+		reply.Cause = mpwire.MakeReply_GONE
+	default:
+		reply.Cause = mpwire.MakeReply_FAILED
+	}
+	return reply
+}
+
+func decode(r *mpwire.MakeReply) ([]string, error) {
+	switch r.GetCause() {
+	case mpwire.MakeReply_MADE:
+		return r.GetHandles(), nil
+	case mpwire.MakeReply_LATE:
+		return nil, mperror.Wrap(mperror.ErrLate, "owner")
+	case mpwire.MakeReply_FULL:
+		return nil, mperror.Wrap(mperror.ErrEmpty, "owner")
+	case mpwire.MakeReply_GONE:
+		return nil, mperror.Wrap(mperror.ErrNotFound, "owner: an input is gone")
+	}
+	return nil, mperror.Wrap(mperror.ErrCrashed, "owner: pieces failed")
+}
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -1,8 +1,8 @@
 // Package mpvoter brings up a voter: it founds a new deployment, resumes from
 // its data folder, or joins as a new member after its disk was lost.
 //
-// Founding is the one step without a quorum. Only the first VM in the settings
-// founds, only when it can reach every other voter, and only when none of them
+// Founding is the one step without a quorum. Only the VM that the settings name
+// founds, only when it can reach every other seed, and only when none of them
 // holds a log. It founds a deployment of itself alone; the others join it. So a
 // voter with a lost disk cannot found a second deployment beside the first.
 package mpvoter
@@ -21,7 +21,6 @@
 	"mustardpost.org/core/process/mpdisk"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/process/mpreplica"
-	"mustardpost.org/core/process/mpsettings"
 )
 
 const (
@@ -33,15 +32,22 @@
 
 // Config holds what a voter needs to start.
 type Config struct {
-	Settings mpsettings.Settings
-	Client   *mppeer.Client
-	Logger   log.Logger
+	// VM is this VM's name, Address its peer address, Data its data folder.
+	VM      string
+	Address string
+	Data    string
+	// Seeds returns the peer addresses of VMs that may hold the log.
+	Seeds func() []string
+	// Founds tells that this VM founds a deployment where there is none.
+	Founds func() bool
+	Client *mppeer.Client
+	Logger log.Logger
 }
 
 // Open returns the identity of the data folder. Where it has none, Open first
 // founds the deployment or learns which one to join; that may take until ctx ends.
 func Open(ctx context.Context, cfg Config) (mpdisk.Identity, error) {
-	dir := cfg.Settings.Data
+	dir := cfg.Data
 	id, ok, err := mpdisk.ReadIdentity(dir)
 	if err != nil || ok {
 		return id, err
@@ -53,7 +59,7 @@
 	id = mpdisk.Identity{Cluster: cluster, Member: mpquorum.Member(rand.Uint64() | 1)}
 	if cluster == 0 {
 		id.Cluster = rand.Uint64() | 1
-		if err := found(dir, id, cfg.Settings); err != nil {
+		if err := found(dir, id, cfg); err != nil {
 			return id, err
 		}
 	}
@@ -61,13 +67,13 @@
 	return id, mpdisk.WriteIdentity(dir, id)
 }
 
-func found(dir string, id mpdisk.Identity, s mpsettings.Settings) error {
+func found(dir string, id mpdisk.Identity, cfg Config) error {
 	store, _, err := mpdisk.Open(dir)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = store.Close() }()
-	seat := mpquorum.Seat{Member: id.Member, VM: s.VM, Address: s.Peer}
+	seat := mpquorum.Seat{Member: id.Member, VM: cfg.VM, Address: cfg.Address}
 	if err := store.WriteSnapshot(mpquorum.Found(seat, nil)); err != nil {
 		return err
 	}
@@ -76,12 +82,11 @@
 
 // discover returns the deployment to join, or 0 to found one.
 func discover(ctx context.Context, cfg Config) (uint64, error) {
-	first := cfg.Settings.Voters[0].VM == cfg.Settings.VM
 	t := time.NewTicker(probeEvery)
 	defer t.Stop()
 	for {
 		cluster, all := probe(ctx, cfg)
-		if cluster != 0 || all && first {
+		if cluster != 0 || all && cfg.Founds() {
 			return cluster, nil
 		}
 		select {
@@ -96,11 +101,11 @@
 // them answered.
 func probe(ctx context.Context, cfg Config) (cluster uint64, all bool) {
 	all = true
-	for _, v := range cfg.Settings.Voters {
-		if v.VM == cfg.Settings.VM {
+	for _, address := range cfg.Seeds() {
+		if address == cfg.Address {
 			continue
 		}
-		reply, err := probeOne(ctx, cfg, v.Peer)
+		reply, err := probeOne(ctx, cfg, address)
 		if err != nil {
 			all = false
 			continue
@@ -127,16 +132,21 @@
 	req := &mpwire.EnrollRequest{
 		Cluster: id.Cluster,
 		Member:  uint64(id.Member),
-		Vm:      cfg.Settings.VM,
-		Address: cfg.Settings.Peer,
+		Vm:      cfg.VM,
+		Address: cfg.Address,
 	}
 	seat := mpquorum.Seat{Member: id.Member, VM: req.GetVm(), Address: req.GetAddress()}
 	t := time.NewTicker(enrollEvery)
 	defer t.Stop()
 	for next := 0; ; next++ {
+		seeds := cfg.Seeds()
+		target := replica.Leader().Address
+		if target == "" || next%2 == 1 {
+			target = seeds[next/2%len(seeds)]
+		}
 		done, err := replica.Enroll(seat)
 		if err != nil {
-			done = enrollAt(ctx, cfg, cfg.Settings.Voters[next%len(cfg.Settings.Voters)].Peer, req)
+			done = enrollAt(ctx, cfg, target, req)
 		}
 		if done {
 			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember())
@@ -151,7 +161,7 @@
 }
 
 func enrollAt(ctx context.Context, cfg Config, address string, req *mpwire.EnrollRequest) bool {
-	if address == cfg.Settings.Peer {
+	if address == cfg.Address {
 		return false
 	}
 	peer, err := cfg.Client.To(address)
--- /dev/null
+++ b/core/request/mpbatch/types.go
@@ -0,0 +1,157 @@
+// Package mpbatch decides how the pieces of many requests share the calls to
+// the upstreams of one pool. A call takes as long for one piece as for several,
+// so an upstream gets its next call when it is idle, filled with what waits:
+// first what can still be on time, then by priority, then by arrival. The
+// package starts nothing itself; its owner carries out the calls it returns.
+package mpbatch
+
+import "time"
+
+// Ask is one stage of one request.
+type Ask struct {
+	// Request is the id that the caller gave its request.
+	Request string
+	Stage   int
+	// Count is the number of pieces.
+	Count int
+	// Key goes with stages that read nothing, Inputs with all others.
+	Key    string
+	Inputs []string
+	// Bytes is the expected size of one result.
+	Bytes    int
+	Priority int
+	// Aim is when the stage must end for the request to be on time; Deadline
+	// is when its results are of no use any more.
+	Aim      time.Time
+	Deadline time.Time
+	// DC is where the results are read.
+	DC string
+}
+
+// Upstream is one that makes pieces.
+type Upstream struct {
+	ID      string
+	Address string
+	DC      string
+}
+
+// Item is one piece in a Call.
+type Item struct {
+	Request  string
+	Stage    int
+	Number   int
+	Key      string
+	Inputs   []string
+	Deadline time.Time
+}
+
+// Call is a batch for one upstream.
+type Call struct {
+	ID       uint64
+	Upstream Upstream
+	Items    []Item
+	// Expected is how long the call should take; Most is when to give it up.
+	Expected time.Duration
+	Most     time.Duration
+}
+
+// Reason tells why a piece was not made.
+type Reason string
+
+const (
+	// ReasonLate pieces ran out of time before their turn.
+	ReasonLate Reason = "late"
+	// ReasonGone pieces lack an input.
+	ReasonGone Reason = "gone"
+	// ReasonRoom pieces found no memory for their result.
+	ReasonRoom Reason = "room"
+	// ReasonError pieces failed.
+	ReasonError Reason = "error"
+)
+
+// Made is the outcome of one item: a handle, or the reason why there is none.
+type Made struct {
+	Handle string
+	Reason Reason
+}
+
+// Ending tells how a call ended.
+type Ending int
+
+const (
+	// Answered calls have an outcome for each item.
+	Answered Ending = iota
+	// Refused calls were not run, since the upstream was full.
+	Refused
+	// Broken calls may have run; their upstream is avoided for a while.
+	Broken
+)
+
+// Outcome is what a call returned.
+type Outcome struct {
+	Ending Ending
+	Made   []Made
+}
+
+// Job is an Ask in the group. Its fields are read after Done is closed.
+type Job struct {
+	ask     Ask
+	arrived time.Time
+	pieces  []piece
+	left    int
+	tries   int
+	done    chan struct{}
+	err     error
+}
+
+type state uint8
+
+const (
+	waiting state = iota
+	running
+	made
+)
+
+type piece struct {
+	state  state
+	handle string
+	// copies is the number of calls that make the piece now.
+	copies int
+}
+
+// Done returns a channel that is closed when the job has ended.
+func (j *Job) Done() <-chan struct{} { return j.done }
+
+// Handles returns the results in the order of the pieces, or why there are none:
+// an error that wraps ErrLate, ErrFull, ErrNotFound or ErrCrashed.
+func (j *Job) Handles() ([]string, error) {
+	if j.err != nil {
+		return nil, j.err
+	}
+	out := make([]string, len(j.pieces))
+	for i, p := range j.pieces {
+		out[i] = p.handle
+	}
+	return out, nil
+}
+
+func (j *Job) isDone() bool {
+	select {
+	case <-j.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// isBefore orders the queue.
+func (j *Job) isBefore(now time.Time, o *Job) bool {
+	late, otherLate := j.ask.Aim.Before(now), o.ask.Aim.Before(now)
+	switch {
+	case late != otherLate:
+		return otherLate
+	case j.ask.Priority != o.ask.Priority:
+		return j.ask.Priority < o.ask.Priority
+	}
+	return j.arrived.Before(o.arrived)
+}
--- /dev/null
+++ b/core/request/mppass/stages.go
@@ -0,0 +1,215 @@
+package mppass
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/version/mproute"
+)
+
+// largeResult is the size from which a result is made as late as its reader
+// allows, since upstreams have room for a few of them only.
+const largeResult = 1 << 20
+
+// stageRun is the stages of one request while they are made.
+type stageRun struct {
+	f      *flow
+	counts []int
+	dc     string
+	ready  []chan struct{}
+
+	mu      sync.Mutex
+	handles [][]string
+	readers []int
+}
+
+// makeStages makes the results that the request reads, if its route has stages.
+func (f *flow) makeStages(ctx context.Context) error {
+	spec := f.route.Spec()
+	if len(spec.Stages) == 0 {
+		return nil
+	}
+	if len(f.r.Pieces) != len(spec.Stages) {
+		return mperror.Wrap(mperror.ErrInvalid, "%d stages, pieces of %d", len(spec.Stages), len(f.r.Pieces))
+	}
+	begun := f.p.cfg.Clock()
+	s := &stageRun{
+		f:       f,
+		counts:  f.r.Pieces,
+		dc:      f.p.cfg.Selector.Peek(begun, f.p.candidates(f.pool), f.ask),
+		ready:   make([]chan struct{}, len(spec.Stages)),
+		handles: make([][]string, len(spec.Stages)),
+		readers: make([]int, len(spec.Stages)),
+	}
+	err := s.makeAll(ctx)
+	f.stagesTook += f.p.cfg.Clock().Sub(begun)
+	return err
+}
+
+// makeAll makes each stage when what it reads is there, and leaves the results
+// that the request itself reads in its flow.
+func (s *stageRun) makeAll(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	leaves := s.f.route.Leaves(s.counts)
+	for i := range s.counts {
+		s.ready[i] = make(chan struct{})
+		for _, in := range s.inputs(i) {
+			s.readers[in]++
+		}
+	}
+	for _, i := range leaves {
+		s.readers[i]++
+	}
+	var wg sync.WaitGroup
+	for i, n := range s.counts {
+		if n == 0 {
+			continue
+		}
+		wg.Go(func() {
+			if err := s.makeOne(ctx, i, s.waitFor(i, leaves)); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	wg.Wait()
+	if err := context.Cause(ctx); err != nil {
+		for i := range s.handles {
+			s.free(i)
+		}
+		return err
+	}
+	for _, i := range leaves {
+		s.f.inputs = append(s.f.inputs, input{s.pool(i), s.handles[i]})
+	}
+	return nil
+}
+
+func (s *stageRun) pool(i int) string { return s.f.route.Spec().Stages[i].Pool }
+
+func (s *stageRun) inputs(i int) []int {
+	if s.counts[i] == 0 {
+		return nil
+	}
+	return s.f.route.Inputs(i, s.counts)
+}
+
+// waitFor returns the stages that must be there before stage i starts: those
+// it reads; for a large result that the request itself reads, those that the
+// longest other branch needs for its last step.
+func (s *stageRun) waitFor(i int, leaves []int) []int {
+	own := s.inputs(i)
+	if len(own) > 0 || s.f.route.Spec().Stages[i].Bytes < largeResult {
+		return own
+	}
+	deepest, best := 0, []int(nil)
+	for _, leaf := range leaves {
+		if d := s.depth(leaf); leaf != i && d > deepest {
+			deepest, best = d, s.inputs(leaf)
+		}
+	}
+	return best
+}
+
+func (s *stageRun) depth(i int) int {
+	d := 0
+	for _, in := range s.inputs(i) {
+		d = max(d, 1+s.depth(in))
+	}
+	return d
+}
+
+func (s *stageRun) makeOne(ctx context.Context, i int, after []int) error {
+	for _, in := range after {
+		select {
+		case <-s.ready[in]:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	inputs := s.inputs(i)
+	ask := s.ask(i)
+	s.mu.Lock()
+	for _, in := range inputs {
+		ask.Inputs = append(ask.Inputs, s.handles[in]...)
+	}
+	s.mu.Unlock()
+	handles, err := s.f.p.cfg.Maker.Make(ctx, s.pool(i), ask)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.handles[i] = handles
+	s.mu.Unlock()
+	close(s.ready[i])
+	for _, in := range inputs {
+		s.mu.Lock()
+		s.readers[in]--
+		last := s.readers[in] == 0
+		s.mu.Unlock()
+		if last {
+			s.free(in)
+		}
+	}
+	return nil
+}
+
+func (s *stageRun) free(i int) {
+	s.mu.Lock()
+	handles := s.handles[i]
+	s.handles[i] = nil
+	s.mu.Unlock()
+	if len(handles) > 0 {
+		s.f.p.cfg.Maker.Free(s.pool(i), handles)
+	}
+}
+
+func (s *stageRun) ask(i int) mpbatch.Ask {
+	rest := s.rest(i)
+	ask := mpbatch.Ask{
+		Request:  s.f.r.ID,
+		Stage:    i,
+		Count:    s.counts[i],
+		Bytes:    s.f.route.Spec().Stages[i].Bytes,
+		Priority: s.f.priority,
+		Aim:      s.f.aim.Add(-rest),
+		Deadline: s.f.deadline.Add(-rest),
+		DC:       s.dc,
+	}
+	if len(s.inputs(i)) == 0 {
+		ask.Key = s.f.r.PieceKey
+	}
+	return ask
+}
+
+// rest returns the least time that the request needs after stage i.
+func (s *stageRun) rest(i int) time.Duration {
+	longest := time.Duration(0)
+	for next := i + 1; next < len(s.counts); next++ {
+		for _, in := range s.inputs(next) {
+			if in == i {
+				longest = max(longest, s.length(next)+s.rest(next))
+			}
+		}
+	}
+	if longest == 0 {
+		return engineShare
+	}
+	return longest
+}
+
+func (s *stageRun) length(i int) time.Duration {
+	return shortest(s.f.table.Pool(s.pool(i)), s.counts[i])
+}
+
+// shortest returns how long an idle upstream takes for a call with n pieces.
+func shortest(pool *mproute.Pool, n int) time.Duration {
+	b := pool.Spec().Batch
+	if b == nil {
+		return 0
+	}
+	return b.Call + time.Duration(min(n, b.Size))*b.Item
+}
--- /dev/null
+++ b/core/request/mpselect/mpselect.go
@@ -0,0 +1,278 @@
+// Package mpselect chooses the upstream for an attempt from what this VM knows:
+// the platform's list, its own attempts in flight, and how earlier ones ended.
+// Model engines are chosen by the kept prefix, with bounded load; others by
+// expected wait, the own data centre first.
+package mpselect
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardpost.org/core/version/mplist"
+)
+
+const (
+	// suspectFirst doubles with each failure in a row, up to suspectMost.
+	suspectFirst = 400 * time.Millisecond
+	suspectMost  = 5 * time.Second
+	// boundTimes and boundSlack bound the work at one engine: above that many
+	// times the mean plus that many tokens, the next engine in order is taken.
+	boundTimes = 1.5
+	boundSlack = 30_000
+	// farCost is added for upstreams of other data centres: about a round trip.
+	farCost = 8 * time.Millisecond
+	// tookWeight is the weight of the newest answer in an upstream's mean time.
+	tookWeight  = 0.2
+	tookFirst   = 20 * time.Millisecond
+	coldWindow  = time.Second
+	forgetAfter = time.Minute
+)
+
+// Ask describes the attempt to place.
+type Ask struct {
+	// Affinity names what the attempt shares with others; 0 for nothing.
+	Affinity uint64
+	// Work is the size of the attempt, in tokens or 1.
+	Work float64
+	DC   string
+	// Avoid lists the ids of upstreams that the request was sent to before.
+	Avoid []string
+}
+
+// Ending tells how an attempt went.
+type Ending int
+
+const (
+	// Served attempts got a whole answer.
+	Served Ending = iota
+	// Failed attempts lost their connection, or got no or a bad answer.
+	Failed
+	// Full attempts were refused before they ran.
+	Full
+	// Dropped attempts were ended by this side.
+	Dropped
+)
+
+type state struct {
+	flights int
+	work    float64
+	fails   int
+	until   time.Time
+	took    time.Duration
+	used    time.Time
+	// colds holds the times of the newest attempts while cold.
+	colds []time.Time
+}
+
+// Config sets a Selector.
+type Config struct {
+	VM string
+}
+
+// Selector keeps what this VM knows of the upstreams. It is safe for
+// concurrent use.
+type Selector struct {
+	cfg Config
+
+	mu    sync.Mutex
+	known map[string]*state
+	peers []string
+}
+
+// New returns a selector that knows nothing yet.
+func New(cfg Config) *Selector {
+	return &Selector{cfg: cfg, known: map[string]*state{}, peers: []string{cfg.VM}}
+}
+
+// SetPeers names the VMs that share the upstreams, this one included.
+func (s *Selector) SetPeers(vms []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = slices.Clone(vms)
+}
+
+// Candidate is an upstream that may be chosen.
+type Candidate struct {
+	Row mplist.Row
+	// ColdUntil is when the upstream stops being cold; zero when it is warm.
+	ColdUntil time.Time
+	// ColdRate is the number of requests a second that it bears from all VMs
+	// while it is cold.
+	ColdRate float64
+}
+
+// Pick chooses one of the candidates and counts the attempt. It returns false
+// when none may be used.
+func (s *Selector) Pick(now time.Time, candidates []Candidate, ask Ask) (mplist.Row, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usable := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return slices.Contains(ask.Avoid, c.Row.ID) || !s.bearsCold(now, c)
+	})
+	if len(usable) == 0 {
+		return mplist.Row{}, false
+	}
+	sound := slices.DeleteFunc(slices.Clone(usable), func(c Candidate) bool {
+		return now.Before(s.state(c.Row.ID).until)
+	})
+	if len(sound) == 0 {
+		// All failed lately: the one whose pause ends first is tried.
+		sound = []Candidate{slices.MinFunc(usable, func(a, b Candidate) int {
+			return s.state(a.Row.ID).until.Compare(s.state(b.Row.ID).until)
+		})}
+	}
+	var c Candidate
+	if ask.Affinity != 0 {
+		c = s.byAffinity(sound, ask)
+	} else {
+		c = s.byWait(sound, ask)
+	}
+	st := s.state(c.Row.ID)
+	st.flights++
+	st.work += ask.Work
+	st.used = now
+	if now.Before(c.ColdUntil) {
+		st.colds = append(st.colds, now)
+	}
+	return c.Row, true
+}
+
+// Peek returns the data centre of the upstream that Pick would choose, without
+// counting an attempt.
+func (s *Selector) Peek(now time.Time, candidates []Candidate, ask Ask) string {
+	row, ok := s.Pick(now, candidates, ask)
+	if !ok {
+		return ""
+	}
+	s.Done(now, row.ID, ask, Dropped, 0)
+	return row.DC
+}
+
+// bearsCold reports whether a cold upstream may get one more request from this
+// VM. Each VM among the first in the upstream's order may send one a second, so
+// that all together stay below what it bears, whatever they know of each other.
+func (s *Selector) bearsCold(now time.Time, c Candidate) bool {
+	if !now.Before(c.ColdUntil) || c.ColdRate <= 0 {
+		return true
+	}
+	st := s.state(c.Row.ID)
+	st.colds = slices.DeleteFunc(st.colds, func(t time.Time) bool { return now.Sub(t) >= coldWindow })
+	if len(st.colds) > 0 {
+		return false
+	}
+	own, before := rank(c.Row.ID, s.cfg.VM), 0
+	for _, vm := range s.peers {
+		if vm != s.cfg.VM && rank(c.Row.ID, vm) > own {
+			before++
+		}
+	}
+	return float64(before+1) <= c.ColdRate
+}
+
+func rank(a, b string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(a)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(b)
+	return d.Sum64()
+}
+
+// byAffinity takes the first upstream in the rendezvous order of the shared
+// part whose work is within bounds.
+func (s *Selector) byAffinity(list []Candidate, ask Ask) Candidate {
+	total := 0.0
+	for _, c := range list {
+		total += s.state(c.Row.ID).work
+	}
+	limit := boundTimes*total/float64(len(list)) + boundSlack
+	slices.SortFunc(list, func(a, b Candidate) int {
+		return cmp.Compare(mix(b.Row.ID, ask.Affinity), mix(a.Row.ID, ask.Affinity))
+	})
+	for _, c := range list {
+		if s.state(c.Row.ID).work <= limit {
+			return c
+		}
+	}
+	return list[0]
+}
+
+func mix(id string, affinity uint64) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(affinity >> (8 * i))
+	}
+	return rank(id, string(b[:]))
+}
+
+// byWait takes the upstream with the shortest expected time to an answer.
+func (s *Selector) byWait(list []Candidate, ask Ask) Candidate {
+	best, least := list[0], math.Inf(1)
+	for _, c := range list {
+		st := s.state(c.Row.ID)
+		queue := 1 + float64(st.flights)/float64(max(c.Row.Slots, 1))
+		cost := queue * float64(st.took)
+		if c.Row.DC != ask.DC {
+			cost += float64(farCost)
+		}
+		if cost < least {
+			best, least = c, cost
+		}
+	}
+	return best
+}
+
+// Done ends an attempt that Pick counted.
+func (s *Selector) Done(now time.Time, id string, ask Ask, e Ending, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.state(id)
+	st.flights--
+	st.work = max(st.work-ask.Work, 0)
+	switch e {
+	case Served:
+		st.fails = 0
+		st.took += time.Duration(tookWeight * float64(took-st.took))
+	case Failed:
+		st.until = now.Add(min(suspectFirst<<min(st.fails, 8), suspectMost))
+		st.fails++
+	case Full:
+		st.until = now.Add(suspectFirst / 4)
+	case Dropped:
+	}
+}
+
+// Suspect reports whether the upstream failed lately.
+func (s *Selector) Suspect(now time.Time, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.state(id).until)
+}
+
+func (s *Selector) state(id string) *state {
+	st, ok := s.known[id]
+	if !ok {
+		st = &state{took: tookFirst}
+		s.known[id] = st
+	}
+	return st
+}
+
+// Forget drops what is known of upstreams that are not listed any more.
+func (s *Selector) Forget(now time.Time, list *mplist.List) {
+	listed := map[string]bool{}
+	for _, r := range list.Rows() {
+		listed[r.ID] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, st := range s.known {
+		if !listed[id] && st.flights == 0 && now.Sub(st.used) > forgetAfter {
+			delete(s.known, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/version/mproute/table.go
@@ -0,0 +1,206 @@
+package mproute
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"mustardpost.org/core/common/mperror"
+)
+
+// Table is a checked plan.
+type Table struct {
+	version  uint64
+	hosts    map[string][]*Route
+	pools    map[string]*Pool
+	accounts map[string]*Account
+	limits   Limits
+}
+
+// Route is one checked route.
+type Route struct {
+	spec  RouteSpec
+	total float64
+}
+
+// Pool is one checked pool.
+type Pool struct{ spec PoolSpec }
+
+// Account is one checked account.
+type Account struct{ spec AccountSpec }
+
+// Spec returns what the route was made from. The caller must not change it.
+func (r *Route) Spec() *RouteSpec { return &r.spec }
+
+// Spec returns what the pool was made from. The caller must not change it.
+func (p *Pool) Spec() *PoolSpec { return &p.spec }
+
+// Name returns the account's name.
+func (a *Account) Name() string { return a.spec.Name }
+
+// Priority returns the rank of a request of the account on a route.
+func (a *Account) Priority(r *Route) int {
+	if a == nil || a.spec.Priority == nil {
+		return r.spec.Priority
+	}
+	return *a.spec.Priority
+}
+
+// New checks s and returns its table, or an error that wraps ErrInvalid.
+func New(s Spec) (*Table, error) {
+	t := &Table{
+		version:  s.Version,
+		hosts:    map[string][]*Route{},
+		pools:    map[string]*Pool{},
+		accounts: map[string]*Account{},
+		limits:   s.Limits,
+	}
+	if s.Version == 0 {
+		return nil, invalid("version is 0")
+	}
+	for _, p := range s.Pools {
+		if _, ok := t.pools[p.Name]; ok || p.Name == "" {
+			return nil, invalid("pool %q is named twice or empty", p.Name)
+		}
+		t.pools[p.Name] = &Pool{p}
+	}
+	for _, r := range s.Routes {
+		if err := t.addRoute(r); err != nil {
+			return nil, err
+		}
+	}
+	for host := range t.hosts {
+		slices.SortFunc(t.hosts[host], func(a, b *Route) int {
+			return cmp.Compare(len(b.spec.Prefix), len(a.spec.Prefix))
+		})
+	}
+	for _, a := range s.Accounts {
+		account := &Account{a}
+		for _, k := range a.Keys {
+			if other, ok := t.accounts[k]; ok {
+				return nil, invalid("accounts %q and %q share a key", other.Name(), a.Name)
+			}
+			t.accounts[k] = account
+		}
+	}
+	return t, nil
+}
+
+func invalid(format string, args ...any) error {
+	return mperror.Wrap(mperror.ErrInvalid, format, args...)
+}
+
+func (t *Table) addRoute(s RouteSpec) error {
+	r := &Route{spec: s}
+	switch s.Kind {
+	case Idempotent, NonIdempotent, Stream:
+	default:
+		return invalid("route %q: unknown kind %q", s.Name, s.Kind)
+	}
+	if s.Host == "" || !strings.HasPrefix(s.Prefix, "/") || !strings.HasSuffix(s.Prefix, "/") {
+		return invalid("route %q: host %q, prefix %q", s.Name, s.Host, s.Prefix)
+	}
+	if s.Timeout <= 0 {
+		return invalid("route %q: timeout is %v", s.Name, s.Timeout)
+	}
+	for _, share := range s.Shares {
+		if _, ok := t.pools[share.Pool]; !ok {
+			return invalid("route %q: unknown pool %q", s.Name, share.Pool)
+		}
+		if share.Weight < 0 {
+			return invalid("route %q: negative weight", s.Name)
+		}
+		r.total += share.Weight
+	}
+	if r.total <= 0 {
+		return invalid("route %q: weights add up to 0", s.Name)
+	}
+	if err := t.checkStages(r); err != nil {
+		return err
+	}
+	for _, other := range t.hosts[s.Host] {
+		if other.spec.Prefix == s.Prefix {
+			return invalid("routes %q and %q share host and prefix", other.spec.Name, s.Name)
+		}
+	}
+	t.hosts[s.Host] = append(t.hosts[s.Host], r)
+	return nil
+}
+
+// checkStages accepts stages that read only from earlier ones, so that there
+// is no cycle.
+func (t *Table) checkStages(r *Route) error {
+	for i, st := range r.spec.Stages {
+		if _, ok := t.pools[st.Pool]; !ok {
+			return invalid("route %q: unknown pool %q", r.spec.Name, st.Pool)
+		}
+		for _, a := range st.After {
+			if a < 0 || a >= i {
+				return invalid("route %q: stage %d after %d", r.spec.Name, i, a)
+			}
+		}
+	}
+	return nil
+}
+
+// Version returns the operators' version of the plan.
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
+
+// Limits returns the bounds on what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Find returns the route with the longest prefix that begins path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.spec.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasAccounts reports whether requests need a key.
+func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+
+// Account returns the account that holds key, or nil.
+func (t *Table) Account(key string) *Account { return t.accounts[key] }
+
+// Pool returns the pool called name, or nil.
+func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+
+// Pools returns all pools, in the order of their names.
+func (t *Table) Pools() []*Pool {
+	out := make([]*Pool, 0, len(t.pools))
+	for _, p := range t.pools {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *Pool) int { return cmp.Compare(a.spec.Name, b.spec.Name) })
+	return out
+}
+
+// Draw returns a pool of the route by weight.
+func (r *Route) Draw(rng *rand.Rand) string {
+	at := rng.Float64() * r.total
+	last := ""
+	for _, s := range r.spec.Shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		last = s.Pool
+		if at -= s.Weight; at < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// Repeats reports whether a request of the route may run more than once.
+func (r *Route) Repeats() bool {
+	return r.spec.Kind == Idempotent || r.spec.Kind == Stream && r.spec.Resumable
+}
--- a/core/version/mpstate/command.go
+++ b/core/version/mpstate/command.go
@@ -72,7 +72,13 @@
 	Hash   string `json:"hash"`
 }
 
+// Read returns the published plan. As an entry of the log it is ordered after
+// every change that was acknowledged before it was proposed, whatever the
+// members' clocks do.
+type Read struct{}
+
 func (Change) command()  {}
+func (Read) command()    {}
 func (Claim) command()   {}
 func (Finish) command()  {}
 func (Doubt) command()   {}
@@ -86,6 +92,7 @@
 	Finish  *Finish  `json:"finish,omitempty"`
 	Doubt   *Doubt   `json:"doubt,omitempty"`
 	Release *Release `json:"release,omitempty"`
+	Read    *Read    `json:"read,omitempty"`
 	Order   *Order   `json:"order,omitempty"`
 	Carried *Carried `json:"carried,omitempty"`
 }
@@ -96,6 +103,8 @@
 	switch c := c.(type) {
 	case Change:
 		w.Change = &c
+	case Read:
+		w.Read = &c
 	case Claim:
 		w.Claim = &c
 	case Finish:
@@ -123,6 +132,8 @@
 	switch {
 	case w.Change != nil:
 		return w.At, *w.Change, nil
+	case w.Read != nil:
+		return w.At, *w.Read, nil
 	case w.Claim != nil:
 		return w.At, *w.Claim, nil
 	case w.Finish != nil:
@@ -171,6 +182,8 @@
 	Text     string  `json:"text,omitempty"`
 	Revision uint64  `json:"revision,omitempty"`
 	Answer   *Answer `json:"answer,omitempty"`
+	// Routing is what a Read found; nil where none is published.
+	Routing *mpview.Routing `json:"routing,omitempty"`
 }
 
 // DecodeResult decodes the result of Machine.Apply.
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 
 	"mustardpost.org/core/common/mperror"
@@ -15,7 +16,10 @@
 )
 
 const (
-	deltaWindow  = 1024
+	deltaWindow = 1024
+	// deltaBytes bounds the memory of the changes that VMs can still fetch one
+	// by one; a VM that is further behind gets the whole view.
+	deltaBytes   = 4 << 20
 	auditLimit   = 20_000
 	answersLimit = 5_000
 )
@@ -86,6 +90,8 @@
 	switch c := c.(type) {
 	case Change:
 		return m.change(c)
+	case Read:
+		return m.read()
 	case Claim:
 		return m.claims.claim(m.clock, c)
 	case Finish:
@@ -102,6 +108,14 @@
 	return Result{Code: CodeInvalid}
 }
 
+func (m *Machine) read() Result {
+	r := Result{Code: CodeDone, Revision: m.view.Revision()}
+	if routing := m.view.Routing(); routing.Version > 0 {
+		r.Routing = &routing
+	}
+	return r
+}
+
 func (m *Machine) order(c Order) Result {
 	if _, ok := m.view.Catalogue().Upstream(c.Upstream); !ok {
 		return Result{Code: CodeNotFound, Text: "upstream/" + c.Upstream}
@@ -141,17 +155,31 @@
 	}
 	m.settle(c.Change.Op)
 	m.view = next
-	m.audit = bounded(append(m.audit, rec), auditLimit)
-	m.deltas = append(m.deltas, delta)
-	if len(m.deltas) > deltaWindow {
-		m.first += uint64(len(m.deltas) - deltaWindow)
-		m.deltas = bounded(m.deltas, deltaWindow)
+	if p, ok := c.Change.Op.(mpview.Publish); ok {
+		// The trail names the version; old documents would fill the memory.
+		rec.Change.Op = mpview.Publish{Routing: mpview.Routing{Version: p.Routing.Version}}
 	}
+	m.audit = bounded(append(m.audit, rec), auditLimit)
+	m.keepDelta(delta)
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return Result{Code: CodeDone, Revision: next.Revision()}
 }
 
+// keepDelta remembers an encoded change for the VMs that lack it.
+func (m *Machine) keepDelta(delta []byte) {
+	m.deltas = append(m.deltas, delta)
+	bytes := 0
+	for i, d := range slices.Backward(m.deltas) {
+		bytes += len(d)
+		if len(m.deltas)-i > deltaWindow || bytes > deltaBytes {
+			m.first += uint64(i + 1)
+			m.deltas = m.deltas[i+1:]
+			return
+		}
+	}
+}
+
 // settle puts in doubt the claims whose holder a change declares dead.
 func (m *Machine) settle(op mpview.Op) {
 	switch op := op.(type) {
--- a/core/version/mpview/op.go
+++ b/core/version/mpview/op.go
@@ -70,24 +70,32 @@
 	Text string `json:"text"`
 }
 
-func (Edit) op()   {}
-func (Mark) op()   {}
-func (Join) op()   {}
-func (Leave) op()  {}
-func (Assign) op() {}
-func (Strike) op() {}
-func (Clear) op()  {}
-func (Note) op()   {}
+// Publish replaces the operators' plan. A plan whose version is not higher
+// than the published one leaves the state as it is.
+type Publish struct {
+	Routing Routing `json:"routing"`
+}
+
+func (Edit) op()    {}
+func (Mark) op()    {}
+func (Join) op()    {}
+func (Leave) op()   {}
+func (Assign) op()  {}
+func (Strike) op()  {}
+func (Clear) op()   {}
+func (Note) op()    {}
+func (Publish) op() {}
 
 type wireOp struct {
-	Edit   *Edit   `json:"edit,omitempty"`
-	Mark   *Mark   `json:"mark,omitempty"`
-	Join   *Join   `json:"join,omitempty"`
-	Leave  *Leave  `json:"leave,omitempty"`
-	Assign *Assign `json:"assign,omitempty"`
-	Strike *Strike `json:"strike,omitempty"`
-	Clear  *Clear  `json:"clear,omitempty"`
-	Note   *Note   `json:"note,omitempty"`
+	Edit    *Edit    `json:"edit,omitempty"`
+	Mark    *Mark    `json:"mark,omitempty"`
+	Join    *Join    `json:"join,omitempty"`
+	Leave   *Leave   `json:"leave,omitempty"`
+	Assign  *Assign  `json:"assign,omitempty"`
+	Strike  *Strike  `json:"strike,omitempty"`
+	Clear   *Clear   `json:"clear,omitempty"`
+	Note    *Note    `json:"note,omitempty"`
+	Publish *Publish `json:"publish,omitempty"`
 }
 
 // Change is one step from a revision to the next.
@@ -122,6 +130,8 @@
 		w.Clear = &op
 	case Note:
 		w.Note = &op
+	case Publish:
+		w.Publish = &op
 	default:
 		return nil, fmt.Errorf("mpview: cannot encode op %T", c.Op)
 	}
@@ -152,6 +162,8 @@
 		c.Op = *w.Clear
 	case w.Note != nil:
 		c.Op = *w.Note
+	case w.Publish != nil:
+		c.Op = *w.Publish
 	default:
 		return mperror.Wrap(mperror.ErrInvalid, "change without a known op")
 	}
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -31,6 +31,16 @@
 	Peer    string `json:"peer"`
 	// Leaving VMs own nothing and are not named to callers.
 	Leaving bool `json:"leaving,omitempty"`
+	// Voter VMs hold replicated state and can name the leader.
+	Voter bool `json:"voter,omitempty"`
+}
+
+// Routing is a routing plan that operators hand over whole, under a version of
+// their own. Source is the document as they sent it; the VMs decode it, and it
+// is returned unchanged to whoever reads the plan back.
+type Routing struct {
+	Version uint64          `json:"version"`
+	Source  json.RawMessage `json:"source"`
 }
 
 // Ownership tells who grants permits for a group, since which epoch.
@@ -57,6 +67,7 @@
 	vms       map[string]VM
 	owners    map[string]Ownership
 	strikes   map[uint64]Struck
+	routing   Routing
 }
 
 // Empty returns revision 0.
@@ -68,6 +79,9 @@
 // Catalogue returns the catalogue of this revision.
 func (v *View) Catalogue() *mpcatalogue.Catalogue { return v.catalogue }
 
+// Routing returns the published plan; its version is 0 where there is none.
+func (v *View) Routing() Routing { return v.routing }
+
 // IsOut reports whether operators took the target out of service.
 func (v *View) IsOut(t Target, name string) bool {
 	_, ok := v.out[markKey(t, name)]
@@ -184,6 +198,10 @@
 		for _, p := range op.Prints {
 			delete(next.strikes, p)
 		}
+	case Publish:
+		if op.Routing.Version > v.routing.Version {
+			next.routing = op.Routing
+		}
 	case Note:
 	default:
 		err = mperror.Wrap(mperror.ErrInvalid, "unknown op %T", op)
@@ -240,7 +258,10 @@
 	known := false
 	switch op.Target {
 	case TargetDC:
+		// The platform lists the upstreams of a published plan, with data
+		// centres that the catalogue does not name.
 		_, known = v.catalogue.DC(op.Name)
+		known = known || v.routing.Version > 0
 	case TargetUpstream:
 		_, known = v.catalogue.Upstream(op.Name)
 	case TargetMachine:
@@ -293,11 +314,17 @@
 	VMs       map[string]VM        `json:"vms"`
 	Owners    map[string]Ownership `json:"owners"`
 	Strikes   map[uint64]Struck    `json:"strikes"`
+	Routing   *Routing             `json:"routing,omitempty"`
 }
 
 // MarshalJSON encodes the whole view.
 func (v *View) MarshalJSON() ([]byte, error) {
+	var routing *Routing
+	if v.routing.Version > 0 {
+		routing = &v.routing
+	}
 	return json.Marshal(wireView{
+		Routing:   routing,
 		Revision:  v.revision,
 		Catalogue: v.catalogue.Document(),
 		Out:       v.out,
@@ -325,5 +352,8 @@
 		owners:    w.Owners,
 		strikes:   w.Strikes,
 	}
+	if w.Routing != nil {
+		v.routing = *w.Routing
+	}
 	return nil
 }
