mpstage: Free results although the owner is busy

Ruled out: too little memory as such (the pieces made need less than half of it). Change: the timer is set once, and memory counts as free when the maker was told.

--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -20,7 +21,7 @@
 
 const (
 	// freeEvery gathers the results to free into one call an upstream.
-	freeEvery  = 40 * time.Millisecond
+	freeEvery  = 25 * time.Millisecond
 	freeWithin = 500 * time.Millisecond
 )
 
@@ -59,7 +60,8 @@
 
 	mu    sync.Mutex
 	group *mpbatch.Group
-	size  int
+	// freeing tells that a call of free is due.
+	freeing atomic.Bool
 }
 
 // NewOwner returns an owner whose work ends with ctx.
@@ -98,7 +100,7 @@
 		return nil, mperror.Wrap(mperror.ErrNotFound, "pool %s", pool)
 	}
 	spec := *o.table.Pool(pool).Spec().Batch
-	l := &line{o: o, pool: pool, kick: make(chan struct{}, 1), group: mpbatch.New(mpbatch.Config{Spec: spec}), size: spec.Size}
+	l := &line{o: o, pool: pool, kick: make(chan struct{}, 1), group: mpbatch.New(mpbatch.Config{Spec: spec})}
 	o.lines[pool] = l
 	o.fill(l, pool)
 	go l.run()
@@ -153,7 +155,6 @@
 func (l *line) run() {
 	wait := time.NewTimer(time.Hour)
 	defer wait.Stop()
-	var freeing *time.Timer
 	for {
 		select {
 		case <-l.o.ctx.Done():
@@ -172,10 +173,8 @@
 		if !at.IsZero() {
 			wait.Reset(max(at.Sub(now), time.Millisecond))
 		}
-		if freeing == nil {
-			freeing = time.AfterFunc(freeEvery, l.free)
-		} else {
-			freeing.Reset(freeEvery)
+		if l.freeing.CompareAndSwap(false, true) {
+			time.AfterFunc(freeEvery, l.free)
 		}
 	}
 }
@@ -196,7 +195,9 @@
 	l.wake()
 }
 
+// free tells the makers of results that nobody needs them.
 func (l *line) free() {
+	l.freeing.Store(false)
 	l.mu.Lock()
 	handles := l.group.TakeFreed()
 	l.mu.Unlock()
@@ -207,5 +208,10 @@
 	defer cancel()
 	if err := l.o.cfg.Caller.Free(ctx, handles); err != nil {
 		_ = level.Warn(l.o.cfg.Logger).Log("msg", "results not freed", "pool", l.pool, "results", len(handles), "err", err)
+		return
 	}
+	l.mu.Lock()
+	l.group.Freed(handles)
+	l.mu.Unlock()
+	l.wake()
 }
--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -368,18 +368,19 @@
 	}
 }
 
-// Free forgets results that are not needed any more.
-func (g *Group) Free(handles []string) {
+// Free notes results that are not needed any more. They take up memory until
+// their makers have been told.
+func (g *Group) Free(handles []string) { g.freed = append(g.freed, handles...) }
+
+func (g *Group) free(handle string) { g.freed = append(g.freed, handle) }
+
+// Freed takes in that the makers of results have dropped them.
+func (g *Group) Freed(handles []string) {
 	for _, h := range handles {
-		g.free(h)
+		g.forget(h)
 	}
 }
 
-func (g *Group) free(handle string) {
-	g.forget(handle)
-	g.freed = append(g.freed, handle)
-}
-
 func (g *Group) forget(handle string) {
 	k, ok := g.results[handle]
 	if !ok {
@@ -391,7 +392,8 @@
 	}
 }
 
-// TakeFreed returns the handles that their makers may drop, and forgets them.
+// TakeFreed returns the handles that their makers may drop. Freed must follow
+// when they have been told.
 func (g *Group) TakeFreed() []string {
 	out := g.freed
 	g.freed = nil
