mpmember: Ask the leader that a voter names

Cause: after a failed renewal a VM forgot the leader that the answer had named. Seeds are three of the voters, so where another one led, VMs that started anew asked the seeds for ever. Ruled out: the election (a leader stood 0.9 s after the start) and dead connections (new ones were opened). Change: the named leader is asked next; a proposer drops a leader that cannot be reached. Renewals that fail are logged.

--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 const (
 	renewDeadline = 1500 * time.Millisecond
 	retryPause    = 50 * time.Millisecond
+	// noteEvery bounds the log lines of renewals that go on failing.
+	noteEvery = 20
 )
 
 // Config holds what a Member needs from outside.
@@ -45,6 +48,9 @@
 	cfg   Config
 	lease mplease.Holder
 
+	// failures counts the renewals that failed in a row; Run alone uses it.
+	failures int
+
 	mu      sync.RWMutex
 	view    *mpview.View
 	list    *mplist.List
@@ -113,14 +119,40 @@
 			address = voters[next%len(voters)]
 			next++
 		}
-		if err := m.renew(ctx, address); err != nil {
-			m.SetLeader("")
-			level.Debug(m.cfg.Logger).Log("msg", "renewal failed", "peer", address, "err", err)
+		err := m.renew(ctx, address)
+		m.note(address, err)
+		if err != nil {
+			m.SetLeader(followUp(address, m.Leader(), err))
 			mptime.Pause(ctx, retryPause)
 		}
 	}
 }
 
+// note logs when renewals begin to fail, now and then while they do, and when
+// they work again.
+func (m *Member) note(address string, err error) {
+	switch {
+	case err != nil && m.failures%noteEvery == 0:
+		_ = level.Warn(m.cfg.Logger).Log("msg", "lease not renewed", "peer", address, "failures", m.failures+1, "err", err)
+	case err == nil && m.failures > 0:
+		_ = level.Info(m.cfg.Logger).Log("msg", "lease regained", "peer", address, "failures", m.failures)
+	}
+	m.failures++
+	if err == nil {
+		m.failures = 0
+	}
+}
+
+// followUp returns whom to ask after a renewal at address failed: the leader
+// that a voter named, or "" for any candidate. The candidates may hold none
+// that leads, so a voter's word is the only way to find the leader.
+func followUp(address, named string, err error) string {
+	if errors.Is(err, mperror.ErrNotLeader) && named != address {
+		return named
+	}
+	return ""
+}
+
 // candidates returns where the leader may be asked for: at the configured
 // voters and at those that the view names.
 func (m *Member) candidates() []string {
--- a/core/connection/mpproposer/mpproposer.go
+++ b/core/connection/mpproposer/mpproposer.go
@@ -99,6 +99,9 @@
 	defer cancel()
 	out, err := peer.Propose(ctx, req)
 	if err != nil {
+		if status.Code(err) == codes.Unavailable {
+			p.cfg.Directory.SetLeader("")
+		}
 		return Reply{}, translate(err)
 	}
 	if len(out.GetResult()) == 0 {
