mpbatch: Make pieces where what they read lies

Change: an ask names its best data centre and the traffic of a piece made elsewhere; where that is large it waits for a near upstream as long as it stays on time; pieces that are read together are made together. Requests log the time to the head of the answer and to the first event.

--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -108,7 +108,7 @@
 }
 
 // Make returns the results of ask once they are all made.
-func (o *Owner) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]string, error) {
+func (o *Owner) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error) {
 	l, err := o.line(pool)
 	if err != nil {
 		return nil, err
@@ -129,7 +129,7 @@
 		l.wake()
 		return nil, ctx.Err()
 	}
-	return j.Handles()
+	return j.Results()
 }
 
 // Free gives up results that this owner or another one made.
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -95,7 +95,7 @@
 
 // Make returns the results of ask from the owner of pool, or from the next VM
 // in order when the owner does not answer.
-func (r *Router) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]string, error) {
+func (r *Router) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error) {
 	err := mperror.Wrap(mperror.ErrEmpty, "no owner for %s", pool)
 	owners := r.owners(r.cfg.Clock(), pool)
 	if len(owners) == 0 {
@@ -105,10 +105,10 @@
 		if vm.Name == r.cfg.VM {
 			return r.cfg.Local.Make(ctx, pool, ask)
 		}
-		var handles []string
-		handles, err = r.ask(ctx, vm, pool, ask)
+		var made []mpbatch.Result
+		made, err = r.ask(ctx, vm, pool, ask)
 		if !errors.Is(err, mperror.ErrUnknown) || ctx.Err() != nil {
-			return handles, err
+			return made, err
 		}
 		r.noteSilent(r.cfg.Clock(), vm.Name)
 		_ = level.Warn(r.cfg.Logger).Log("msg", "owner passed over", "pool", pool, "vm", vm.Name, "id", ask.Request, "err", err)
@@ -116,7 +116,7 @@
 	return nil, err
 }
 
-func (r *Router) ask(ctx context.Context, vm mpview.VM, pool string, ask mpbatch.Ask) ([]string, error) {
+func (r *Router) ask(ctx context.Context, vm mpview.VM, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error) {
 	peer, err := r.cfg.Client.To(vm.Peer)
 	if err != nil {
 		return nil, mperror.Wrap(mperror.ErrUnknown, "%v", err)
@@ -192,13 +192,14 @@
 		LeftMs:   left(now, a.Deadline),
 		AimMs:    left(now, a.Aim),
 		Dc:       a.DC,
+		Far:      uint32(a.Far),
 	}
 }
 
 // Serve answers another VM's call to make pieces.
 func (o *Owner) Serve(ctx context.Context, r *mpwire.MakeRequest) *mpwire.MakeReply {
 	now := o.cfg.Clock()
-	handles, err := o.Make(ctx, r.GetPool(), mpbatch.Ask{
+	made, err := o.Make(ctx, r.GetPool(), mpbatch.Ask{
 		Request:  r.GetRequest(),
 		Stage:    int(r.GetStage()),
 		Count:    int(r.GetPieces()),
@@ -209,8 +210,13 @@
 		Aim:      now.Add(time.Duration(r.GetAimMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond),
 		DC:       r.GetDc(),
+		Far:      int(r.GetFar()),
 	})
-	reply := &mpwire.MakeReply{Handles: handles}
+	reply := &mpwire.MakeReply{}
+	for _, m := range made {
+		reply.Handles = append(reply.Handles, m.Handle)
+		reply.Dcs = append(reply.Dcs, m.DC)
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, mperror.ErrLate):
@@ -225,10 +231,17 @@
 	return reply
 }
 
-func decode(r *mpwire.MakeReply) ([]string, error) {
+func decode(r *mpwire.MakeReply) ([]mpbatch.Result, error) {
 	switch r.GetCause() {
 	case mpwire.MakeReply_MADE:
-		return r.GetHandles(), nil
+		if len(r.GetDcs()) != len(r.GetHandles()) {
+			return nil, mperror.Wrap(mperror.ErrAnswer, "owner: %d results, %d data centres", len(r.GetHandles()), len(r.GetDcs()))
+		}
+		made := make([]mpbatch.Result, len(r.GetHandles()))
+		for i, h := range r.GetHandles() {
+			made[i] = mpbatch.Result{Handle: h, DC: r.GetDcs()[i]}
+		}
+		return made, nil
 	case mpwire.MakeReply_LATE:
 		return nil, mperror.Wrap(mperror.ErrLate, "owner")
 	case mpwire.MakeReply_FULL:
--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -16,6 +16,9 @@
 	// overdue, and againBurst at once.
 	againShare = 0.08
 	againBurst = 24.0
+	// farBytes is the traffic between data centres from which a piece should
+	// rather wait for a near upstream: that traffic is slow and costly.
+	farBytes = 100_000
 )
 
 // Config sets a Group.
@@ -40,7 +43,10 @@
 	results map[string]kept
 	freed   []string
 	next    uint64
+	jobs    uint64
 	again   float64
+	// promised counts the pieces that wait for each busy upstream in this round.
+	promised map[string]int
 }
 
 // New returns a group without upstreams.
@@ -89,7 +95,8 @@
 	if len(g.order) == 0 {
 		return nil, mperror.Wrap(mperror.ErrEmpty, "stage %d", ask.Stage)
 	}
-	j := &Job{ask: ask, arrived: now, pieces: make([]piece, ask.Count), left: ask.Count, done: make(chan struct{})}
+	g.jobs++
+	j := &Job{seq: g.jobs, ask: ask, arrived: now, pieces: make([]piece, ask.Count), left: ask.Count, done: make(chan struct{})}
 	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) {
 		return nil, mperror.Wrap(mperror.ErrLate, "stage %d: expected to take %v", ask.Stage, wait)
 	}
@@ -180,6 +187,7 @@
 		return 0
 	})
 	var open []*flight
+	g.promised = map[string]int{}
 	for _, j := range g.queue {
 		for i := range j.pieces {
 			if j.pieces[i].state != waiting {
@@ -246,11 +254,11 @@
 		if len(f.jobs) >= g.cfg.Spec.Size || !g.hasRoom(s, j) {
 			continue
 		}
-		if best == nil || s.up.DC == j.ask.DC && best.call.Upstream.DC != j.ask.DC {
+		if best == nil || s.up.DC == j.dc() && best.call.Upstream.DC != j.dc() {
 			best = f
 		}
 	}
-	if best != nil {
+	if best != nil && (best.call.Upstream.DC == j.dc() || !g.awaitsNear(now, j)) {
 		return best
 	}
 	var pick *server
@@ -259,7 +267,7 @@
 			pick = s
 		}
 	}
-	if pick == nil {
+	if pick == nil || pick.up.DC != j.dc() && g.awaitsNear(now, j) {
 		return nil
 	}
 	g.next++
@@ -270,6 +278,32 @@
 	return f
 }
 
+// awaitsNear reports whether the next piece of j should wait for a busy upstream
+// in the data centre where its result is read. Large results are worth the wait,
+// as long as the request stays on time.
+func (g *Group) awaitsNear(now time.Time, j *Job) bool {
+	if j.ask.Far < farBytes {
+		return false
+	}
+	for _, s := range g.order {
+		if s.up.DC != j.dc() || !s.listed || s.call == nil || s.call.overdue || !g.hasRoom(s, j) {
+			continue
+		}
+		if g.promised[s.up.ID] >= g.cfg.Spec.Size {
+			continue
+		}
+		free := s.call.started.Add(s.call.call.Expected)
+		if free.Before(now) {
+			free = now
+		}
+		if free.Add(g.length(s, g.cfg.Spec.Size)).Before(j.ask.Aim) {
+			g.promised[s.up.ID]++
+			return true
+		}
+	}
+	return false
+}
+
 // hasRoom reports whether s can keep one more result of j. A result larger
 // than the whole memory is tried at an empty upstream.
 func (g *Group) hasRoom(s *server, j *Job) bool {
@@ -277,8 +311,8 @@
 }
 
 func (g *Group) isBetter(a, b *server, j *Job) bool {
-	if (a.up.DC == j.ask.DC) != (b.up.DC == j.ask.DC) {
-		return a.up.DC == j.ask.DC
+	if (a.up.DC == j.dc()) != (b.up.DC == j.dc()) {
+		return a.up.DC == j.dc()
 	}
 	if a.pace > 1.5*b.pace || b.pace > 1.5*a.pace {
 		return a.pace < b.pace
@@ -289,6 +323,9 @@
 func (g *Group) put(f *flight, j *Job, i int) {
 	s := g.servers[f.call.Upstream.ID]
 	s.used += j.ask.Bytes
+	if j.near == "" {
+		j.near = s.up.DC
+	}
 	j.pieces[i].state = running
 	j.pieces[i].copies++
 	f.jobs = append(f.jobs, j)
@@ -343,7 +380,7 @@
 			g.free(m.Handle)
 			return
 		}
-		p.state, p.handle = made, m.Handle
+		p.state, p.handle, p.dc = made, m.Handle, s.up.DC
 		if j.left--; j.left == 0 {
 			g.end(j, nil)
 		}
--- /dev/null
+++ b/core/request/mpbatch/group_test.go
@@ -0,0 +1,209 @@
+package mpbatch
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/version/mproute"
+)
+
+// spec is a pool whose calls take 150 ms and 16 ms a piece.
+func spec() mproute.BatchSpec {
+	return mproute.BatchSpec{
+		Size: 8, Call: 150 * time.Millisecond, Item: 16 * time.Millisecond, Room: 36_000_000, Keep: 4 * time.Second,
+	}
+}
+
+// sim plays a group and its upstreams in virtual time.
+type sim struct {
+	t     *testing.T
+	g     *Group
+	now   time.Time
+	start time.Time
+	calls []Call
+	ends  map[uint64]time.Time
+	// slow multiplies the calls of an upstream; mute ones never answer.
+	slow map[string]float64
+	mute map[string]bool
+	all  []Call
+}
+
+func newSim(t *testing.T, s mproute.BatchSpec, ups ...Upstream) *sim {
+	start := time.Unix(1000, 0)
+	m := &sim{
+		t: t, g: New(Config{Spec: s}), now: start, start: start,
+		ends: map[uint64]time.Time{}, slow: map[string]float64{}, mute: map[string]bool{},
+	}
+	m.g.SetUpstreams(ups)
+	return m
+}
+
+// ask queues a stage that must end within aim.
+func (m *sim) ask(a Ask, aim time.Duration) *Job {
+	m.t.Helper()
+	a.Aim, a.Deadline = m.now.Add(aim), m.now.Add(5*time.Second)
+	j, err := m.g.Add(m.now, a)
+	if err != nil {
+		m.t.Fatalf("add %s: %v", a.Request, err)
+	}
+	m.step()
+	return j
+}
+
+func (m *sim) step() {
+	for _, c := range m.g.Next(m.now) {
+		m.all = append(m.all, c)
+		if m.mute[c.Upstream.ID] {
+			continue
+		}
+		x := max(m.slow[c.Upstream.ID], 1)
+		length := m.g.cfg.Spec.Call + time.Duration(len(c.Items))*m.g.cfg.Spec.Item
+		m.ends[c.ID] = m.now.Add(time.Duration(x * float64(length)))
+		m.calls = append(m.calls, c)
+	}
+}
+
+// run plays for d.
+func (m *sim) run(d time.Duration) {
+	until := m.now.Add(d)
+	for m.now.Before(until) {
+		m.now = m.now.Add(time.Millisecond)
+		for _, c := range slices.Clone(m.calls) {
+			if m.ends[c.ID].After(m.now) {
+				continue
+			}
+			m.calls = slices.DeleteFunc(m.calls, func(o Call) bool { return o.ID == c.ID })
+			out := Outcome{}
+			for _, it := range c.Items {
+				out.Made = append(out.Made, Made{Handle: c.Upstream.ID + "/" + it.Request + strconv.Itoa(it.Number) + "-" + strconv.Itoa(int(c.ID))})
+			}
+			m.g.Finish(m.now, c.ID, out)
+		}
+		m.step()
+	}
+}
+
+func checkDone(t *testing.T, j *Job, want bool) {
+	t.Helper()
+	if j.isDone() != want {
+		t.Errorf("job %s done: %v, want %v", j.ask.Request, j.isDone(), want)
+	}
+}
+
+func checkMadeAt(t *testing.T, j *Job, want ...string) {
+	t.Helper()
+	made, err := j.Results()
+	if err != nil {
+		t.Fatalf("job %s: %v", j.ask.Request, err)
+	}
+	dcs := make([]string, len(made))
+	for i, r := range made {
+		dcs[i] = r.DC
+	}
+	if diff := cmp.Diff(want, dcs); diff != "" {
+		t.Errorf("job %s was made in (-want +got):\n%s", j.ask.Request, diff)
+	}
+}
+
+func TestCallsAreShared(t *testing.T) {
+	m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"})
+	first := m.ask(Ask{Request: "r0", Count: 1}, time.Second)
+	var rest []*Job
+	for i := range 4 {
+		rest = append(rest, m.ask(Ask{Request: fmt.Sprint("r", i+1), Count: 2}, time.Second))
+	}
+	m.run(170 * time.Millisecond)
+	checkDone(t, first, true)
+	m.run(280 * time.Millisecond)
+	for _, j := range rest {
+		checkDone(t, j, true)
+	}
+	sizes := []int{}
+	for _, c := range m.all {
+		sizes = append(sizes, len(c.Items))
+	}
+	if diff := cmp.Diff([]int{1, 8}, sizes); diff != "" {
+		t.Errorf("pieces a call (-want +got):\n%s", diff)
+	}
+}
+
+// The ladder's quiet day: pieces that read eight results of 60 kB each caused
+// most of the traffic between data centres when any idle upstream took them.
+func TestPiecesGoWhereTheirInputsLie(t *testing.T) {
+	ups := []Upstream{{ID: "u1", DC: "a"}, {ID: "u2", DC: "b"}}
+	t.Run("a short wait for a near upstream is worth it", func(t *testing.T) {
+		m := newSim(t, spec(), ups...)
+		m.ask(Ask{Request: "busy", Count: 1, DC: "a", Far: 480_000}, time.Second)
+		j := m.ask(Ask{Request: "r", Count: 2, DC: "a", Far: 480_000}, time.Second)
+		m.run(400 * time.Millisecond)
+		checkMadeAt(t, j, "a", "a")
+	})
+	t.Run("a request is not made late by it", func(t *testing.T) {
+		m := newSim(t, spec(), ups...)
+		m.ask(Ask{Request: "busy", Count: 1, DC: "a", Far: 480_000}, time.Second)
+		j := m.ask(Ask{Request: "r", Count: 2, DC: "a", Far: 480_000}, 250*time.Millisecond)
+		m.run(200 * time.Millisecond)
+		checkMadeAt(t, j, "b", "b")
+	})
+	t.Run("pieces that are read together lie together", func(t *testing.T) {
+		m := newSim(t, spec(), ups...)
+		j := m.ask(Ask{Request: "r", Count: 4, Bytes: 60_000, Far: 60_000}, time.Second)
+		m.run(400 * time.Millisecond)
+		checkMadeAt(t, j, "a", "a", "a", "a")
+	})
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("what is late already waits for what can be on time", func(t *testing.T) {
+		m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"})
+		m.ask(Ask{Request: "busy", Count: 8}, time.Second)
+		late := m.ask(Ask{Request: "late", Count: 8}, -time.Millisecond)
+		good := m.ask(Ask{Request: "good", Count: 8, Priority: 2}, time.Second)
+		m.run(570 * time.Millisecond)
+		checkDone(t, good, true)
+		checkDone(t, late, false)
+	})
+	t.Run("what cannot end before its deadline is refused at once", func(t *testing.T) {
+		m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"})
+		for i := range 3 {
+			m.ask(Ask{Request: fmt.Sprint("r", i), Count: 8}, time.Second)
+		}
+		_, err := m.g.Add(m.now, Ask{Request: "r", Count: 8, Aim: m.now, Deadline: m.now.Add(700 * time.Millisecond)})
+		if !errors.Is(err, mperror.ErrLate) {
+			t.Errorf("got %v, want ErrLate", err)
+		}
+	})
+}
+
+func TestSilentUpstream(t *testing.T) {
+	m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"}, Upstream{ID: "u2", DC: "a"})
+	m.mute["u1"] = true
+	j := m.ask(Ask{Request: "r", Count: 2}, 2*time.Second)
+	m.run(850 * time.Millisecond)
+	checkDone(t, j, true)
+}
+
+func TestRoom(t *testing.T) {
+	m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"})
+	j := m.ask(Ask{Request: "r", Count: 12, Bytes: 3_000_000}, 2*time.Second)
+	m.run(500 * time.Millisecond)
+	checkDone(t, j, true)
+	next := m.ask(Ask{Request: "n", Count: 1, Bytes: 3_000_000}, 2*time.Second)
+	m.run(300 * time.Millisecond)
+	checkDone(t, next, false)
+	made, err := j.Results()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.g.Free([]string{made[0].Handle})
+	m.g.Freed(m.g.TakeFreed())
+	m.run(200 * time.Millisecond)
+	checkDone(t, next, true)
+}
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -24,8 +24,11 @@
 	// is when its results are of no use any more.
 	Aim      time.Time
 	Deadline time.Time
-	// DC is where the results are read.
-	DC string
+	// DC is the best place for the pieces: where most of what they read lies, or
+	// where their results are read. Far is the traffic, in bytes, that each
+	// piece causes when it is made elsewhere.
+	DC  string
+	Far int
 }
 
 // Upstream is one that makes pieces.
@@ -97,11 +100,16 @@
 type Job struct {
 	ask     Ask
 	arrived time.Time
-	pieces  []piece
-	left    int
-	tries   int
-	done    chan struct{}
-	err     error
+	// seq is the order of arrival.
+	seq    uint64
+	pieces []piece
+	left   int
+	tries  int
+	// near is the data centre of the first piece; the others follow it, since
+	// their results are read together.
+	near string
+	done chan struct{}
+	err  error
 }
 
 type state uint8
@@ -115,6 +123,7 @@
 type piece struct {
 	state  state
 	handle string
+	dc     string
 	// copies is the number of calls that make the piece now.
 	copies int
 }
@@ -122,19 +131,34 @@
 // Done returns a channel that is closed when the job has ended.
 func (j *Job) Done() <-chan struct{} { return j.done }
 
-// Handles returns the results in the order of the pieces, or why there are none:
-// an error that wraps ErrLate, ErrFull, ErrNotFound or ErrCrashed.
-func (j *Job) Handles() ([]string, error) {
+// Result is a piece that was made.
+type Result struct {
+	Handle string
+	// DC is where the result lies.
+	DC string
+}
+
+// Results returns the results in the order of the pieces, or why there are none:
+// an error that wraps ErrLate, ErrNotFound or ErrCrashed.
+func (j *Job) Results() ([]Result, error) {
 	if j.err != nil {
 		return nil, j.err
 	}
-	out := make([]string, len(j.pieces))
+	out := make([]Result, len(j.pieces))
 	for i, p := range j.pieces {
-		out[i] = p.handle
+		out[i] = Result{p.handle, p.dc}
 	}
 	return out, nil
 }
 
+// dc returns the data centre that the next piece should be made in.
+func (j *Job) dc() string {
+	if j.ask.DC != "" {
+		return j.ask.DC
+	}
+	return j.near
+}
+
 func (j *Job) isDone() bool {
 	select {
 	case <-j.done:
@@ -153,5 +177,5 @@
 	case j.ask.Priority != o.ask.Priority:
 		return j.ask.Priority < o.ask.Priority
 	}
-	return j.arrived.Before(o.arrived)
+	return j.seq < o.seq
 }
--- a/core/request/mppass/attempt.go
+++ b/core/request/mppass/attempt.go
@@ -93,6 +93,7 @@
 // attempt sends the request to one upstream and passes on the answer.
 func (f *flow) attempt(ctx context.Context, row mplist.Row, left time.Duration, last bool) (verdict, string) {
 	f.sends++
+	f.sent = f.p.cfg.Clock()
 	f.upstream = row.ID
 	begun := f.p.cfg.Clock()
 	ctx, cancel := context.WithCancel(ctx)
@@ -127,6 +128,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	req := f.encode(httptrace.WithClientTrace(ctx, trace), row, left)
 	resp, err := f.p.cfg.Client.RoundTrip(req)
+	f.headTook = f.p.cfg.Clock().Sub(f.sent)
 	if err != nil {
 		ending := mpselect.Failed
 		if errors.Is(ctx.Err(), context.Canceled) && !watchFired(watch) {
@@ -275,6 +277,7 @@
 
 func (f *flow) pass(resp *http.Response, out []byte, flusher *http.ResponseController) {
 	if !f.started {
+		f.firstTook = f.p.cfg.Clock().Sub(f.sent)
 		f.writeHead(resp)
 		f.w.Header().Del("Content-Length")
 		f.w.WriteHeader(resp.StatusCode)
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -76,8 +76,13 @@
 	mayHaveRun bool
 	sends      int
 	upstream   string
+	sent       time.Time
 	stagesTook time.Duration
-	inputs     []input
+	// headTook and firstTook are the times from the sending of the attempt to
+	// the head of its answer and to the first event.
+	headTook  time.Duration
+	firstTook time.Duration
+	inputs    []input
 	// started tells that the head of the answer was written.
 	started   bool
 	lastEvent string
@@ -231,7 +236,7 @@
 	}
 	f.p.cfg.Metrics.Add("answers."+strconv.Itoa(f.status), 1)
 	_ = level.Info(f.p.cfg.Logger).Log("msg", "request", "id", f.r.ID, "route", route, "status", f.status,
-		"reason", f.reason, "upstream", f.upstream, "sends", f.sends, "stages", f.stagesTook,
+		"reason", f.reason, "upstream", f.upstream, "sends", f.sends, "stages", f.stagesTook, "head", f.headTook, "first", f.firstTook,
 		"took", f.p.cfg.Clock().Sub(f.start), "plan", f.table.Version())
 }
 
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -22,7 +22,7 @@
 	ready  []chan struct{}
 
 	mu      sync.Mutex
-	handles [][]string
+	made    [][]mpbatch.Result
 	readers []int
 }
 
@@ -41,7 +41,7 @@
 		counts:  f.r.Pieces,
 		dc:      f.p.cfg.Selector.Peek(begun, f.p.candidates(f.pool), f.ask),
 		ready:   make([]chan struct{}, len(spec.Stages)),
-		handles: make([][]string, len(spec.Stages)),
+		made:    make([][]mpbatch.Result, len(spec.Stages)),
 		readers: make([]int, len(spec.Stages)),
 	}
 	err := s.makeAll(ctx)
@@ -77,13 +77,13 @@
 	}
 	wg.Wait()
 	if err := context.Cause(ctx); err != nil {
-		for i := range s.handles {
+		for i := range s.made {
 			s.free(i)
 		}
 		return err
 	}
 	for _, i := range leaves {
-		s.f.inputs = append(s.f.inputs, input{s.pool(i), s.handles[i]})
+		s.f.inputs = append(s.f.inputs, input{s.pool(i), handles(s.made[i])})
 	}
 	return nil
 }
@@ -131,18 +131,12 @@
 		}
 	}
 	inputs := s.inputs(i)
-	ask := s.ask(i)
-	s.mu.Lock()
-	for _, in := range inputs {
-		ask.Inputs = append(ask.Inputs, s.handles[in]...)
-	}
-	s.mu.Unlock()
-	handles, err := s.f.p.cfg.Maker.Make(ctx, s.pool(i), ask)
+	made, err := s.f.p.cfg.Maker.Make(ctx, s.pool(i), s.ask(i))
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.handles[i] = handles
+	s.made[i] = made
 	s.mu.Unlock()
 	close(s.ready[i])
 	for _, in := range inputs {
@@ -159,11 +153,11 @@
 
 func (s *stageRun) free(i int) {
 	s.mu.Lock()
-	handles := s.handles[i]
-	s.handles[i] = nil
+	made := s.made[i]
+	s.made[i] = nil
 	s.mu.Unlock()
-	if len(handles) > 0 {
-		s.f.p.cfg.Maker.Free(s.pool(i), handles)
+	if len(made) > 0 {
+		s.f.p.cfg.Maker.Free(s.pool(i), handles(made))
 	}
 }
 
@@ -177,14 +171,52 @@
 		Priority: s.f.priority,
 		Aim:      s.f.aim.Add(-rest),
 		Deadline: s.f.deadline.Add(-rest),
-		DC:       s.dc,
+		Far:      s.f.route.Spec().Stages[i].Bytes,
+	}
+	if ask.Far >= largeResult {
+		ask.DC = s.dc
 	}
-	if len(s.inputs(i)) == 0 {
+	inputs := s.inputs(i)
+	if len(inputs) == 0 {
 		ask.Key = s.f.r.PieceKey
+		return ask
 	}
+	s.readFrom(&ask, inputs)
 	return ask
 }
 
+// readFrom adds the inputs of a stage to its ask. Each of its pieces reads all
+// of them, so it is best made where most of their bytes lie, unless its result
+// is larger than what it reads.
+func (s *stageRun) readFrom(ask *mpbatch.Ask, inputs []int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total, most := 0, 0
+	bytes := map[string]int{}
+	best := ""
+	for _, in := range inputs {
+		size := s.f.route.Spec().Stages[in].Bytes
+		for _, m := range s.made[in] {
+			ask.Inputs = append(ask.Inputs, m.Handle)
+			total += size
+			if bytes[m.DC] += size; bytes[m.DC] > most {
+				best, most = m.DC, bytes[m.DC]
+			}
+		}
+	}
+	if total > ask.Far {
+		ask.DC, ask.Far = best, most
+	}
+}
+
+func handles(made []mpbatch.Result) []string {
+	out := make([]string, len(made))
+	for i, m := range made {
+		out[i] = m.Handle
+	}
+	return out
+}
+
 // rest returns the least time that the request needs after stage i.
 func (s *stageRun) rest(i int) time.Duration {
 	longest := time.Duration(0)
--- a/core/request/mppass/types.go
+++ b/core/request/mppass/types.go
@@ -71,7 +71,7 @@
 
 // Maker makes the pieces of stages.
 type Maker interface {
-	Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]string, error)
+	Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error)
 	Free(pool string, handles []string)
 }
 
