mpbatch, mppass: Make stages again once, and believe upstreams without room

Stages also worked for callers who leave a stream that has not begun in time. Change: a request whose inputs are gone makes its stages once more; a refusal for room counts as foreign results for the time that results live; the stages' deadline is when the caller of a stream leaves.

--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -251,7 +251,7 @@
 	var best *flight
 	for _, f := range *open {
 		s := g.servers[f.call.Upstream.ID]
-		if len(f.jobs) >= g.cfg.Spec.Size || !g.hasRoom(s, j) {
+		if len(f.jobs) >= g.cfg.Spec.Size || !g.hasRoom(now, s, j) {
 			continue
 		}
 		if best == nil || s.up.DC == j.dc() && best.call.Upstream.DC != j.dc() {
@@ -263,7 +263,7 @@
 	}
 	var pick *server
 	for _, s := range g.order {
-		if s.isFree(now) && g.hasRoom(s, j) && (pick == nil || g.isBetter(s, pick, j)) {
+		if s.isFree(now) && g.hasRoom(now, s, j) && (pick == nil || g.isBetter(s, pick, j)) {
 			pick = s
 		}
 	}
@@ -286,7 +286,7 @@
 		return false
 	}
 	for _, s := range g.order {
-		if s.up.DC != j.dc() || !s.listed || s.call == nil || s.call.overdue || !g.hasRoom(s, j) {
+		if s.up.DC != j.dc() || !s.listed || s.call == nil || s.call.overdue || !g.hasRoom(now, s, j) {
 			continue
 		}
 		if g.promised[s.up.ID] >= g.cfg.Spec.Size {
@@ -306,8 +306,9 @@
 
 // hasRoom reports whether s can keep one more result of j. A result larger
 // than the whole memory is tried at an empty upstream.
-func (g *Group) hasRoom(s *server, j *Job) bool {
-	return g.cfg.Spec.Room == 0 || s.used == 0 || s.used+j.ask.Bytes <= g.cfg.Spec.Room
+func (g *Group) hasRoom(now time.Time, s *server, j *Job) bool {
+	taken := s.taken(now)
+	return g.cfg.Spec.Room == 0 || taken == 0 || taken+j.ask.Bytes <= g.cfg.Spec.Room
 }
 
 func (g *Group) isBetter(a, b *server, j *Job) bool {
@@ -397,7 +398,7 @@
 	case m.Reason == ReasonGone:
 		g.end(j, mperror.Wrap(mperror.ErrNotFound, "stage %d: an input is gone", j.ask.Stage))
 	case m.Reason == ReasonRoom:
-		s.until = now.Add(avoidRoom)
+		s.noRoom(now, g.cfg.Spec.Room)
 	case e != Refused:
 		if j.tries++; j.tries > mostTries*len(j.pieces) {
 			g.end(j, mperror.Wrap(mperror.ErrCrashed, "stage %d: failed %d times", j.ask.Stage, j.tries))
@@ -461,6 +462,11 @@
 		for _, k := range g.results {
 			sooner(k.until)
 		}
+		for _, s := range g.order {
+			if now.Before(s.foreignUntil) {
+				sooner(now.Add(avoidRoom))
+			}
+		}
 	}
 	return at
 }
--- a/core/request/mpbatch/group_test.go
+++ b/core/request/mpbatch/group_test.go
@@ -207,3 +207,16 @@
 	m.run(200 * time.Millisecond)
 	checkDone(t, next, true)
 }
+
+// A new owner does not know the results of the former one, and sent piece after
+// piece to upstreams without memory for them.
+func TestForeignResults(t *testing.T) {
+	m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"}, Upstream{ID: "u2", DC: "b"})
+	j := m.ask(Ask{Request: "r", Count: 1, Bytes: 3_000_000, DC: "a", Far: 3_000_000}, time.Second)
+	m.run(10 * time.Millisecond)
+	c := m.calls[0]
+	m.calls = nil
+	m.g.Finish(m.now, c.ID, Outcome{Made: []Made{{Reason: ReasonRoom}}})
+	m.run(300 * time.Millisecond)
+	checkMadeAt(t, j, "b")
+}
--- a/core/request/mpbatch/server.go
+++ b/core/request/mpbatch/server.go
@@ -15,7 +15,9 @@
 	avoidMost  = 4 * time.Second
 	// avoidFull is about one round trip between data centres.
 	avoidFull = 20 * time.Millisecond
-	avoidRoom = 100 * time.Millisecond
+	avoidRoom = 50 * time.Millisecond
+	// foreignFor is about how long a result lives until its reader has it.
+	foreignFor = 700 * time.Millisecond
 
 	// paceWeight is the weight of the newest call in an upstream's pace.
 	paceWeight = 0.3
@@ -32,6 +34,9 @@
 	breaks int
 	// used is the memory that results take, in bytes.
 	used int
+	// foreign is memory that results of other owners seem to take, until foreignUntil.
+	foreign      int
+	foreignUntil time.Time
 	// pace is the measured length of a call over the configured one.
 	pace float64
 }
@@ -57,6 +62,23 @@
 	s.pace += paceWeight * (x - s.pace)
 }
 
+// noRoom notes that the upstream had no memory although this owner's results
+// leave some: a former owner's results take it.
+func (s *server) noRoom(now time.Time, room int) {
+	s.until = now.Add(avoidRoom)
+	s.foreign = max(room-s.used, 0)
+	s.foreignUntil = now.Add(foreignFor)
+}
+
+// taken returns the memory that is not to be had.
+func (s *server) taken(now time.Time) int {
+	if now.Before(s.foreignUntil) {
+		left := float64(s.foreignUntil.Sub(now)) / float64(foreignFor)
+		return s.used + int(left*float64(s.foreign))
+	}
+	return s.used
+}
+
 func (s *server) broke(now time.Time) {
 	s.until = now.Add(min(avoidFirst<<min(s.breaks, 10), avoidMost))
 	s.breaks++
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpselect"
@@ -33,6 +34,11 @@
 	leastLeft = 10 * time.Millisecond
 	// answerSlack leaves the way back to the caller before its deadline.
 	answerSlack = 10 * time.Millisecond
+	// Callers leave a stream that has not begun after leastPatience, patientAims
+	// times its aim or patientGaps times its longest pause, whichever is longest.
+	leastPatience = 2 * time.Second
+	patientAims   = 4
+	patientGaps   = 8
 	// mixTokens stands for the part of an attempt's work that is not its prompt.
 	mixTokens = 1000
 )
@@ -71,7 +77,10 @@
 	start    time.Time
 	aim      time.Time
 	deadline time.Time
-	ask      mpselect.Ask
+	// begin is when a stream must begin, since its caller leaves then; it is
+	// the deadline for other requests.
+	begin time.Time
+	ask   mpselect.Ask
 	// mayHaveRun tells that some upstream may have run the request.
 	mayHaveRun bool
 	sends      int
@@ -139,6 +148,11 @@
 	}
 	f.deadline = f.start.Add(left - min(answerSlack, left/4))
 	f.aim = f.start.Add(spec.Aim)
+	f.begin = f.deadline
+	if spec.Kind == mproute.Stream {
+		patience := max(leastPatience, patientAims*spec.Aim, patientGaps*spec.Gap)
+		f.begin = f.start.Add(min(patience, left))
+	}
 	f.pool = f.table.Pool(f.route.Draw(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	f.ask = f.p.asks(f.r, f.pool)
 	f.p.cfg.Budget(f.pool.Spec().Name).Earn()
@@ -173,7 +187,11 @@
 
 func (f *flow) run(ctx context.Context) {
 	for remade := 0; ; remade++ {
-		if err := f.makeStages(ctx); err != nil {
+		err := f.makeStages(ctx)
+		if errors.Is(err, mperror.ErrNotFound) && remade < remakes && ctx.Err() == nil {
+			continue
+		}
+		if err != nil {
 			f.refuseStages(ctx, err)
 			return
 		}
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -170,7 +170,7 @@
 		Bytes:    s.f.route.Spec().Stages[i].Bytes,
 		Priority: s.f.priority,
 		Aim:      s.f.aim.Add(-rest),
-		Deadline: s.f.deadline.Add(-rest),
+		Deadline: s.f.begin.Add(-rest),
 		Far:      s.f.route.Spec().Stages[i].Bytes,
 	}
 	if ask.Far >= largeResult {
