--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -113,10 +113,12 @@
 	if err != nil {
 		return nil, err
 	}
+	begun := o.cfg.Clock()
 	l.mu.Lock()
-	j, err := l.group.Add(o.cfg.Clock(), ask)
+	j, err := l.group.Add(begun, ask)
 	l.mu.Unlock()
 	if err != nil {
+		_ = level.Info(o.cfg.Logger).Log("msg", "stage refused", "id", ask.Request, "pool", pool, "stage", ask.Stage, "err", err)
 		return nil, err
 	}
 	l.wake()
@@ -129,7 +131,11 @@
 		l.wake()
 		return nil, ctx.Err()
 	}
-	return j.Results()
+	made, err := j.Results()
+	first, last := j.Waits()
+	_ = level.Info(o.cfg.Logger).Log("msg", "stage", "id", ask.Request, "pool", pool, "stage", ask.Stage, "pieces", ask.Count,
+		"priority", ask.Priority, "first", first, "last", last, "took", o.cfg.Clock().Sub(begun), "err", err)
+	return made, err
 }
 
 // Free gives up results that this owner or another one made.
--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -324,6 +324,10 @@
 func (g *Group) put(f *flight, j *Job, i int) {
 	s := g.servers[f.call.Upstream.ID]
 	s.used += j.ask.Bytes
+	if j.begun.IsZero() {
+		j.begun = f.started
+	}
+	j.full = f.started
 	if j.near == "" {
 		j.near = s.up.DC
 	}
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -101,10 +101,12 @@
 	ask     Ask
 	arrived time.Time
 	// seq is the order of arrival.
-	seq    uint64
-	pieces []piece
-	left   int
-	tries  int
+	seq uint64
+	// begun is when the first, and full when the last piece was put in a call.
+	begun, full time.Time
+	pieces      []piece
+	left        int
+	tries       int
 	// near is the data centre of the first piece; the others follow it, since
 	// their results are read together.
 	near string
@@ -159,6 +161,15 @@
 	return j.near
 }
 
+// Waits returns how long the job waited until its first and until its last
+// piece was put in a call. They are read after Done is closed.
+func (j *Job) Waits() (first, last time.Duration) {
+	if j.begun.IsZero() {
+		return 0, 0
+	}
+	return j.begun.Sub(j.arrived), j.full.Sub(j.arrived)
+}
+
 func (j *Job) isDone() bool {
 	select {
 	case <-j.done:
