mpbatch: Refuse late jobs at once when others can be on time

Pattern: bursts of 1.5 to 2.4 times the mean, with a part of the stage servers gone. Cause: jobs that could not be on time any more stood behind those that could, for seconds, and were refused at their deadline; jobs that had begun were demoted too, so that their finished pieces went to waste. Change: a job is late when it could not be on time though it began now; one that has begun keeps its place; a late one that would wait over 0.8 s is refused.

--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -16,6 +16,10 @@
 	// overdue, and againBurst at once.
 	againShare = 0.08
 	againBurst = 24.0
+	// lateMost is how long a job that will be late may still have to wait.
+	lateMost = 800 * time.Millisecond
+	// checkEvery bounds the work of looking for jobs without hope.
+	checkEvery = 50 * time.Millisecond
 	// shortShare of an upstream's memory is taken when it is short of it: the
 	// rest has room for about one more call.
 	shortShare = 0.5
@@ -53,6 +57,8 @@
 	next  uint64
 	jobs  uint64
 	again float64
+	// checked is when hopeless jobs were last looked for.
+	checked time.Time
 	// promised counts the pieces that wait for each busy upstream in this round.
 	promised map[string]int
 }
@@ -105,7 +111,8 @@
 	}
 	g.jobs++
 	j := &Job{seq: g.jobs, ask: ask, arrived: now, pieces: make([]piece, ask.Count), left: ask.Count, done: make(chan struct{})}
-	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) {
+	j.least = g.cfg.Spec.Call + time.Duration(min(ask.Count, g.cfg.Spec.Size))*g.cfg.Spec.Item
+	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) || g.isHopeless(now, j) {
 		return nil, mperror.Wrap(mperror.ErrLate, "stage %d: expected to take %v", ask.Stage, wait)
 	}
 	g.queue = append(g.queue, j)
@@ -145,6 +152,16 @@
 	return soonest + time.Duration(float64(behind)/rate*float64(time.Second)) + own
 }
 
+// isHopeless reports whether j will be late and would wait long behind work that
+// can be on time. Its caller is better served by a refusal now.
+func (g *Group) isHopeless(now time.Time, j *Job) bool {
+	if !j.begun.IsZero() {
+		return false
+	}
+	wait := g.Estimate(now, j)
+	return now.Add(wait).After(j.ask.Aim) && wait > lateMost
+}
+
 // Rate returns the number of pieces a second that the group can make in full calls.
 func (g *Group) Rate() float64 {
 	var rate float64
@@ -228,6 +245,10 @@
 			g.end(j, mperror.Wrap(mperror.ErrLate, "stage %d: waited %v", j.ask.Stage, now.Sub(j.arrived)))
 		}
 	}
+	if now.Sub(g.checked) >= checkEvery {
+		g.checked = now
+		g.dropHopeless(now)
+	}
 	for h, k := range g.results {
 		if now.After(k.until) {
 			g.forget(h)
@@ -235,6 +256,23 @@
 	}
 }
 
+// dropHopeless refuses the jobs that will be late and wait long, the last in
+// order first, since each that goes shortens the wait of those behind it.
+func (g *Group) dropHopeless(now time.Time) {
+	queue := slices.Clone(g.queue)
+	slices.SortStableFunc(queue, func(a, b *Job) int {
+		if a.isBefore(now, b) {
+			return 1
+		}
+		return -1
+	})
+	for _, j := range queue {
+		if g.isHopeless(now, j) {
+			g.end(j, mperror.Wrap(mperror.ErrLate, "stage %d: late, and others are not", j.ask.Stage))
+		}
+	}
+}
+
 // remake gives the pieces of overdue calls to other upstreams as well.
 func (g *Group) remake(now time.Time) {
 	for _, f := range g.flights {
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -105,6 +105,8 @@
 	arrived time.Time
 	// seq is the order of arrival.
 	seq uint64
+	// least is how long the job takes at an idle upstream.
+	least time.Duration
 	// begun is when the first, and full when the last piece was put in a call.
 	begun, full time.Time
 	pieces      []piece
@@ -184,9 +186,14 @@
 	}
 }
 
+// isLate reports whether the job cannot be on time any more, though it began now.
+func (j *Job) isLate(now time.Time) bool {
+	return j.begun.IsZero() && now.Add(j.least).After(j.ask.Aim)
+}
+
 // isBefore orders the queue.
 func (j *Job) isBefore(now time.Time, o *Job) bool {
-	late, otherLate := j.ask.Aim.Before(now), o.ask.Aim.Before(now)
+	late, otherLate := j.isLate(now), o.isLate(now)
 	switch {
 	case late != otherLate:
 		return otherLate
