mpquorum, mplead: Try an early pre-vote after a start, and read the list at once

Ruled out: a shorter time without a vote after a start; the leader's lease needs it. Change: a member's first pre-vote comes within half an election timeout and is repeated soon; a new leader reads the list with its first duty.

--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -67,6 +67,9 @@
 	// list is the newest reading of the upstreams; listed is closed when it changes.
 	list   *mplist.List
 	listed chan struct{}
+	// listRead is when the list was last asked for; zero while another leads.
+	// Only followUpstreams uses it.
+	listRead time.Time
 }
 
 // New returns a Lead for one voter.
@@ -257,7 +260,7 @@
 		go mptime.Every(ctx, platformEvery, func(time.Time) { l.followPlatform(ctx) })
 	}
 	if l.cfg.Upstreams != nil {
-		go mptime.Every(ctx, listEvery, func(time.Time) { l.followUpstreams(ctx) })
+		go mptime.Every(ctx, dutyEvery, func(now time.Time) { l.followUpstreams(ctx, now) })
 	}
 	mptime.Every(ctx, dutyEvery, func(now time.Time) {
 		if !l.IsLeading() || !l.isQuorate() {
@@ -288,10 +291,15 @@
 
 // followUpstreams reads the list of upstreams and wakes the renewals that wait
 // when it has changed.
-func (l *Lead) followUpstreams(ctx context.Context) {
+func (l *Lead) followUpstreams(ctx context.Context, now time.Time) {
 	if !l.IsLeading() {
+		l.listRead = time.Time{}
 		return
 	}
+	if now.Sub(l.listRead) < listEvery {
+		return
+	}
+	l.listRead = now
 	rows, err := l.cfg.Upstreams.List(ctx)
 	if err != nil {
 		level.Warn(l.cfg.Logger).Log("msg", "list of upstreams not read", "err", err)
--- a/core/process/mpquorum/elect.go
+++ b/core/process/mpquorum/elect.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// earlyPart of the election timeout is the time for a try that disturbs nobody.
+const earlyPart = 2
+
 func (n *Node) tick(now time.Time) {
 	if n.role == leader {
 		n.tickLeader(now)
@@ -30,7 +33,9 @@
 func (n *Node) preCampaign(now time.Time) {
 	n.role = preCandidate
 	n.lead = 0
-	n.resetDeadline(now)
+	// A pre-vote changes no state elsewhere, so it is tried again soon: others may
+	// still be starting.
+	n.deadline = now.Add(n.cfg.Election/earlyPart + n.spread(n.cfg.Election/earlyPart))
 	n.votes = map[Member]bool{n.cfg.Self: true}
 	if n.won() {
 		n.campaign(now, false)
--- a/core/process/mpquorum/node.go
+++ b/core/process/mpquorum/node.go
@@ -105,7 +105,9 @@
 		}
 	}
 	n.heard = cfg.Now
-	n.resetDeadline(cfg.Now)
+	// All members may have restarted together, so the first try comes early. A
+	// leader that lives is not disturbed, since its followers refuse a pre-vote.
+	n.deadline = cfg.Now.Add(n.spread(cfg.Election / earlyPart))
 	return n, nil
 }
 
@@ -258,8 +260,11 @@
 }
 
 func (n *Node) resetDeadline(now time.Time) {
-	spread := time.Duration(n.cfg.Rand.Int64N(int64(n.cfg.Election)))
-	n.deadline = now.Add(n.cfg.Election + spread)
+	n.deadline = now.Add(n.cfg.Election + n.spread(n.cfg.Election))
+}
+
+func (n *Node) spread(d time.Duration) time.Duration {
+	return time.Duration(n.cfg.Rand.Int64N(int64(max(d, 1))))
 }
 
 func (n *Node) send(to Member, e Envelope) {
