--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 LINT_VERSION := v2.12.0
 LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
-MODULES := core mustardpostd mustardpost mustardfake
+MODULES := core mustardpostd mustardpost mustardfake platform
 SEED ?= 1
 DURATION ?= 60s
 
--- a/mustardfake/internal/mpslope/run.go
+++ b/mustardfake/internal/mpslope/run.go
@@ -61,7 +61,7 @@
 	r := &Run{cfg: cfg, ctx: ctx, metrics: mpmetric.New()}
 	r.client = mppeer.NewClient(mppeer.Config{Secret: cfg.VMs[0].Secret, Metrics: r.metrics})
 	first := r.join(1)
-	r.proposer = mpproposer.New(mpproposer.Config{Client: r.client, Directory: first, Voters: cfg.VMs[0].VoterPeers()})
+	r.proposer = mpproposer.New(mpproposer.Config{Client: r.client, Directory: first, Voters: cfg.VMs[0].VoterPeers})
 	return r
 }
 
@@ -74,7 +74,7 @@
 			Name: fmt.Sprintf("standin%d", n), DC: r.cfg.VMs[0].DC, Boot: rand.Uint64(),
 			Address: "127.0.0.1:9", Peer: "127.0.0.1:9",
 		},
-		Voters: r.cfg.VMs[0].VoterPeers(),
+		Voters: r.cfg.VMs[0].VoterPeers,
 		Client: client,
 		Logger: log.NewNopLogger(),
 	})
