--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,17 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: build demo test unit lint format soak bench slopes generate clean
+.PHONY: build platform-build demo test unit lint format soak bench slopes generate clean
 
-build:
+build: platform-build
 	$(GO) build -o bin/mustardpostd ./mustardpostd
 	$(GO) build -o bin/mustardpost ./mustardpost
 	$(GO) build -o bin/mustardfake ./mustardfake
 
+# The line that the users' platform runs.
+platform-build:
+	$(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
 demo: build
 	bash scripts/demo.sh
 
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -148,9 +148,30 @@
 		Logger:   cfg.Logger,
 		Clock:    time.Now,
 	})
+	g.publish()
 	return g
 }
 
+// publish offers what a reader needs to tell this VM's health.
+func (g *Gateway) publish() {
+	g.metrics.Gauge("lease", func() any { return g.member.HasLease(time.Now()) })
+	g.metrics.Gauge("revision", func() any { return g.member.Current().Revision() })
+	g.metrics.Gauge("plan", func() any { return g.Table().Version() })
+	g.metrics.Gauge("vms", func() any { return len(g.member.Current().VMs()) })
+	g.metrics.Gauge("upstreams", func() any { return len(g.List().Rows()) })
+	g.metrics.Gauge("upstreams.age", func() any {
+		if list := g.List(); list != nil {
+			return time.Since(list.At())
+		}
+		return time.Duration(0)
+	})
+	g.metrics.Gauge("leads", func() any {
+		seat := g.seats.Seat()
+		return seat != nil && seat.Replica().Status().Leading
+	})
+	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
+}
+
 // peer answers the other VMs.
 type peer struct {
 	*mpseat.Service
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -134,6 +134,7 @@
 		return nil, ctx.Err()
 	}
 	made, err := j.Results()
+	o.cfg.Metrics.Took("stage", o.cfg.Clock().Sub(begun))
 	first, last := j.Waits()
 	_ = level.Info(o.cfg.Logger).Log("msg", "stage", "id", ask.Request, "pool", pool, "stage", ask.Stage, "pieces", ask.Count,
 		"priority", ask.Priority, "first", first, "last", last, "took", o.cfg.Clock().Sub(begun), "err", err)
@@ -157,6 +158,19 @@
 	l.wake()
 }
 
+// Waiting returns the number of pieces that wait in all queues of this VM.
+func (o *Owner) Waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, l := range o.lines {
+		l.mu.Lock()
+		n += l.group.Waiting()
+		l.mu.Unlock()
+	}
+	return n
+}
+
 func (l *line) wake() {
 	select {
 	case l.kick <- struct{}{}:
@@ -204,6 +218,7 @@
 	now := l.o.cfg.Clock()
 	l.o.cfg.Metrics.Add("batch.calls", 1)
 	l.o.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
+	l.o.cfg.Metrics.Took("batch", now.Sub(begun))
 	_ = level.Info(l.o.cfg.Logger).Log("msg", "batch", "pool", l.pool, "upstream", c.Upstream.ID, "pieces", len(c.Items),
 		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending)
 	l.mu.Lock()
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -253,6 +253,11 @@
 		route = f.route.Spec().Name
 	}
 	f.p.cfg.Metrics.Add("answers."+strconv.Itoa(f.status), 1)
+	f.p.cfg.Metrics.Took("request", f.p.cfg.Clock().Sub(f.start))
+	if f.firstTook > 0 {
+		f.p.cfg.Metrics.Took("first", f.firstTook)
+	}
+	f.p.cfg.Metrics.Add("sends", int64(f.sends))
 	_ = level.Info(f.p.cfg.Logger).Log("msg", "request", "id", f.r.ID, "route", route, "status", f.status,
 		"reason", f.reason, "upstream", f.upstream, "sends", f.sends, "stages", f.stagesTook, "head", f.headTook, "first", f.firstTook,
 		"took", f.p.cfg.Clock().Sub(f.start), "plan", f.table.Version())
