mpreplica: Remove a voter that is gone for good once another has joined

Cause: found by reading. A replaced machine kept its seat, so each replacement raised the quorum; after three of them the loss of a data centre with two voters would stop the log. Change: while the number of voters is even, the leader removes the one that has been silent longest, from 6 s on, if the others still form a quorum. Members make sure every 3 s that they still vote, since one that was cut off is not told.

--- a/core/process/mpreplica/enroll.go
+++ b/core/process/mpreplica/enroll.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/process/mpquorum"
 )
@@ -40,6 +42,58 @@
 	return false, r.reconfigure(now, members.With(seat))
 }
 
+const (
+	pruneEvery = time.Second
+	// lostAfter is how long a voter must be silent before a replacement may take
+	// its place for good: far longer than a restart.
+	lostAfter = 6 * time.Second
+)
+
+// prune removes a voter that is gone for good once another has joined in its
+// place. Without this, each replaced machine would raise the quorum.
+func (r *Replica) prune(now time.Time) error {
+	if !r.node.IsLeader() || now.Sub(r.pruned) < pruneEvery {
+		return nil
+	}
+	r.pruned = now
+	members := r.node.Members()
+	lost, ok := surplus(members, func(id mpquorum.Member) time.Duration {
+		if id == r.cfg.Self {
+			return 0
+		}
+		return now.Sub(r.node.Contact(id))
+	})
+	if !ok {
+		return nil
+	}
+	level.Warn(r.cfg.Logger).Log("msg", "silent voter removed", "vm", lost.VM, "member", uint64(lost.Member),
+		"voters", len(members.Voters()))
+	return r.reconfigure(now, members.Without(lost.Member))
+}
+
+// surplus returns the voter that has been silent longest, if it is lost and the
+// number of voters is even: deployments start with an odd number, so one has
+// joined since. The others must form a quorum of those that are left.
+func surplus(m mpquorum.Membership, silent func(mpquorum.Member) time.Duration) (mpquorum.Seat, bool) {
+	var worst mpquorum.Seat
+	longest, voters, live := lostAfter, 0, 0
+	for _, s := range m.Seats {
+		if !s.Voter {
+			continue
+		}
+		voters++
+		d := silent(s.Member)
+		if d < lostAfter {
+			live++
+		}
+		if d >= longest {
+			worst, longest = s, d
+		}
+	}
+	ok := worst.Member != 0 && voters%2 == 0 && live > voters/2
+	return worst, ok
+}
+
 func (r *Replica) reconfigure(now time.Time, m mpquorum.Membership) error {
 	err := r.step(now, mpquorum.Reconfigure{Members: m})
 	if errors.Is(err, mperror.ErrConflict) {
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -115,6 +115,7 @@
 	leading  bool
 	snapping bool
 	hard     mpquorum.Hard
+	pruned   time.Time
 
 	mu       sync.RWMutex
 	status   Status
@@ -308,6 +309,9 @@
 
 func (r *Replica) tick(now time.Time) error {
 	r.compact()
+	if err := r.prune(now); err != nil {
+		return err
+	}
 	return r.step(now, mpquorum.Tick{})
 }
 
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -28,6 +28,8 @@
 	probeEvery   = 100 * time.Millisecond
 	enrollEvery  = 100 * time.Millisecond
 	enrollWithin = 2 * time.Second
+	// confirmEvery is how often a voter makes sure that it still is one.
+	confirmEvery = 3 * time.Second
 )
 
 // Config holds what a voter needs to start.
@@ -127,7 +129,9 @@
 	return peer.Probe(ctx, &mpwire.ProbeRequest{})
 }
 
-// Enroll asks the leader, until it has happened, to let this member vote.
+// Enroll asks the leader, until ctx ends, to let this member vote. It goes on
+// when that has happened, since a member that was cut off for long may have been
+// replaced meanwhile, and is not told.
 func Enroll(ctx context.Context, cfg Config, id mpdisk.Identity, replica *mpreplica.Replica) {
 	req := &mpwire.EnrollRequest{
 		Cluster: id.Cluster,
@@ -136,7 +140,8 @@
 		Address: cfg.Address,
 	}
 	seat := mpquorum.Seat{Member: id.Member, VM: req.GetVm(), Address: req.GetAddress()}
-	t := time.NewTicker(enrollEvery)
+	votes := false
+	t := time.NewTimer(enrollEvery)
 	defer t.Stop()
 	for next := 0; ; next++ {
 		seeds := cfg.Seeds()
@@ -148,10 +153,15 @@
 		if err != nil {
 			done = enrollAt(ctx, cfg, target, req)
 		}
-		if done {
-			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember())
-			return
+		if done != votes {
+			votes = done
+			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember(), "votes", votes)
+		}
+		wait := enrollEvery
+		if votes {
+			wait = confirmEvery
 		}
+		t.Reset(wait)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
