mppass: Tell stages the likely rest of a request's way

Pattern: bursts of requests with chains of stages, on both sites. Cause: a stage kept the least time for the rest of the way, 0.25 s for the engine whatever the prompt, and no wait at later stages; requests passed as on time and were late at the end. Change: each VM remembers how long pools wait and how long engines take a token; the aim of a stage leaves that time, its deadline the least one.

--- a/core/request/mppass/attempt.go
+++ b/core/request/mppass/attempt.go
@@ -278,6 +278,7 @@
 func (f *flow) pass(resp *http.Response, out []byte, flusher *http.ResponseController) {
 	if !f.started {
 		f.firstTook = f.p.cfg.Clock().Sub(f.sent)
+		f.p.forecast.began(f.pool.Spec().Name, f.r.Prompt, f.firstTook)
 		f.writeHead(resp)
 		f.w.Header().Del("Content-Length")
 		f.w.WriteHeader(resp.StatusCode)
--- /dev/null
+++ b/core/request/mppass/forecast.go
@@ -0,0 +1,86 @@
+package mppass
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// forecastWeight is the weight of the newest observation.
+	forecastWeight = 0.1
+	// firstPace is the time to read a token until it is measured; engines read
+	// some dozens of tokens in a ms.
+	firstPace = 20 * time.Microsecond
+	// firstBase is the time to a first token that does not depend on the prompt.
+	firstBase = 60 * time.Millisecond
+	// sharedPart of the tokens that requests share are read again on average.
+	sharedPart = 0.4
+	mostWait   = 2 * time.Second
+)
+
+// forecast remembers how long pools took lately, so that a request knows early
+// whether it can still be on time. It is safe for concurrent use.
+type forecast struct {
+	mu    sync.Mutex
+	waits map[string]time.Duration
+	paces map[string]time.Duration
+}
+
+func newForecast() *forecast {
+	return &forecast{waits: map[string]time.Duration{}, paces: map[string]time.Duration{}}
+}
+
+// waited notes how much longer than at an idle upstream a stage took.
+func (c *forecast) waited(pool string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d = min(max(d, 0), mostWait)
+	c.waits[pool] += time.Duration(forecastWeight * float64(d-c.waits[pool]))
+}
+
+// wait returns how long stages of pool wait at present.
+func (c *forecast) wait(pool string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waits[pool]
+}
+
+// began notes how long the first token of a prompt took.
+func (c *forecast) began(pool string, prompt []Part, d time.Duration) {
+	n := unread(prompt)
+	if n == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pace, ok := c.paces[pool]
+	if !ok {
+		pace = firstPace
+	}
+	seen := min(max(d-firstBase, 0)/time.Duration(n), 10*firstPace)
+	c.paces[pool] = pace + time.Duration(forecastWeight*float64(seen-pace))
+}
+
+// first returns how long the first token of a prompt is expected to take.
+func (c *forecast) first(pool string, prompt []Part) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pace, ok := c.paces[pool]
+	if !ok {
+		pace = firstPace
+	}
+	return firstBase + time.Duration(unread(prompt))*pace
+}
+
+// unread estimates the number of tokens that an engine has to read.
+func unread(prompt []Part) int {
+	n := 0.0
+	for i, p := range prompt {
+		if i == len(prompt)-1 {
+			n += float64(p.Tokens)
+		} else {
+			n += sharedPart * float64(p.Tokens)
+		}
+	}
+	return int(n)
+}
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -28,8 +28,6 @@
 	mostSends = 3
 	// remakes bounds how often stages are made again after their results are gone.
 	remakes = 1
-	// engineShare is the time kept for reading the prompt and the first token.
-	engineShare = 250 * time.Millisecond
 	// leastLeft is the shortest time with which an attempt is worth sending.
 	leastLeft = 10 * time.Millisecond
 	// answerSlack leaves the way back to the caller before its deadline.
@@ -59,10 +57,13 @@
 }
 
 // Passer serves requests. It is safe for concurrent use.
-type Passer struct{ cfg Config }
+type Passer struct {
+	cfg      Config
+	forecast *forecast
+}
 
 // New returns a passer.
-func New(cfg Config) *Passer { return &Passer{cfg: cfg} }
+func New(cfg Config) *Passer { return &Passer{cfg: cfg, forecast: newForecast()} }
 
 // flow is one request on its way.
 type flow struct {
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -131,10 +131,12 @@
 		}
 	}
 	inputs := s.inputs(i)
+	begun := s.f.p.cfg.Clock()
 	made, err := s.f.p.cfg.Maker.Make(ctx, s.pool(i), s.ask(i))
 	if err != nil {
 		return err
 	}
+	s.f.p.forecast.waited(s.pool(i), s.f.p.cfg.Clock().Sub(begun)-s.length(i))
 	s.mu.Lock()
 	s.made[i] = made
 	s.mu.Unlock()
@@ -162,15 +164,15 @@
 }
 
 func (s *stageRun) ask(i int) mpbatch.Ask {
-	rest := s.rest(i)
+	least, likely := s.rest(i)
 	ask := mpbatch.Ask{
 		Request:  s.f.r.ID,
 		Stage:    i,
 		Count:    s.counts[i],
 		Bytes:    s.f.route.Spec().Stages[i].Bytes,
 		Priority: s.f.priority,
-		Aim:      s.f.aim.Add(-rest),
-		Deadline: s.f.begin.Add(-rest),
+		Aim:      s.f.aim.Add(-likely),
+		Deadline: s.f.begin.Add(-least),
 		Far:      s.f.route.Spec().Stages[i].Bytes,
 	}
 	if ask.Far >= largeResult {
@@ -220,20 +222,22 @@
 	return out
 }
 
-// rest returns the least time that the request needs after stage i.
-func (s *stageRun) rest(i int) time.Duration {
-	longest := time.Duration(0)
+// rest returns the least and the likely time that the request needs after stage i.
+func (s *stageRun) rest(i int) (least, likely time.Duration) {
 	for next := i + 1; next < len(s.counts); next++ {
 		for _, in := range s.inputs(next) {
-			if in == i {
-				longest = max(longest, s.length(next)+s.rest(next))
+			if in != i {
+				continue
 			}
+			l, k := s.rest(next)
+			l, k = l+s.length(next), k+s.length(next)+s.f.p.forecast.wait(s.pool(next))
+			least, likely = max(least, l), max(likely, k)
 		}
 	}
-	if longest == 0 {
-		return engineShare
+	if least == 0 {
+		return firstBase, s.f.p.forecast.first(s.f.pool.Spec().Name, s.f.r.Prompt)
 	}
-	return longest
+	return least, likely
 }
 
 func (s *stageRun) length(i int) time.Duration {
