mpgateway, mppass: Read the list without a leader, and never answer a caller that left

Cause, found by reading: a request whose caller's connection had closed returned without a word, and net/http then sends an empty 200; a caller that only closed its sending side would take it for whole. Change: such a request breaks off its connection; VMs that serve callers read the list every 2 s while they have no lease.

--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// SetList replaces the list of upstreams by one that this VM read itself.
+func (m *Member) SetList(now time.Time, list *mplist.List) {
+	m.mu.Lock()
+	m.list = list
+	m.mu.Unlock()
+	if m.cfg.OnList != nil {
+		m.cfg.OnList(now, list)
+	}
+}
+
 // takeList replaces the list of upstreams by the one that a renewal carried.
 func (m *Member) takeList(reply *mpwire.RenewReply) error {
 	if len(reply.GetUpstreams()) == 0 {
@@ -220,12 +230,7 @@
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	m.list = list
-	m.mu.Unlock()
-	if m.cfg.OnList != nil {
-		m.cfg.OnList(now, list)
-	}
+	m.SetList(now, list)
 	return nil
 }
 
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mpid"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpmember"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpproposer"
@@ -39,6 +40,9 @@
 	// commitWithin is less than operators wait before they try another VM.
 	commitWithin = 900 * time.Millisecond
 	forgetEvery  = 10 * time.Second
+	// orphanEvery is how often a VM without a lease reads the platform's list: the
+	// platform bears a few dozen readings a second from all VMs.
+	orphanEvery = 2 * time.Second
 )
 
 // Budget bounds repeats at one pool, over all VMs.
@@ -103,6 +107,8 @@
 
 	mu      sync.Mutex
 	budgets map[string]*mpbudget.Budget
+	// leased is when this VM was last seen with a lease; readList alone uses it.
+	leased time.Time
 }
 
 var _ mppass.State = (*Gateway)(nil)
@@ -231,6 +237,9 @@
 		defer seat.Stop()
 		g.seats.SetSeat(seat)
 	}
+	if g.cfg.Caller != "" {
+		go mptime.Every(ctx, orphanEvery, func(now time.Time) { g.readList(ctx, now) })
+	}
 	t := time.NewTicker(forgetEvery)
 	defer t.Stop()
 	for {
@@ -245,6 +254,26 @@
 	}
 }
 
+// readList reads the platform's list while no leader passes it on.
+func (g *Gateway) readList(ctx context.Context, now time.Time) {
+	if g.member.HasLease(now) {
+		g.leased = now
+		return
+	}
+	if now.Sub(g.leased) < orphanEvery {
+		return
+	}
+	rows, err := g.cfg.Upstreams.List(ctx)
+	if err != nil {
+		_ = level.Warn(g.cfg.Logger).Log("msg", "list of upstreams not read", "err", err)
+		return
+	}
+	now = time.Now()
+	if list := mplist.New(now, rows); !g.member.HasLease(now) && list.Hash() != g.List().Hash() {
+		g.member.SetList(now, list)
+	}
+}
+
 // Leave announces that this VM is about to stop, and hands over leadership.
 func (g *Gateway) Leave() {
 	g.member.Leave()
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -37,6 +37,8 @@
 	leastPatience = 2 * time.Second
 	patientAims   = 4
 	patientGaps   = 8
+	// statusAborted is logged where no status was sent or the answer was broken off.
+	statusAborted = -1
 	// mixTokens stands for the part of an attempt's work that is not its prompt.
 	mixTokens = 1000
 )
@@ -208,9 +210,8 @@
 
 // refuseStages answers a request whose stages were not made: it has not run.
 func (f *flow) refuseStages(ctx context.Context, err error) {
-	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		f.reason = "caller gone"
-		return
+	if isGone(ctx) {
+		f.abort("caller gone")
 	}
 	f.refuse(http.StatusServiceUnavailable, refusePause, "stages: "+err.Error())
 }
@@ -219,12 +220,9 @@
 func (f *flow) giveUp(ctx context.Context, reason string) {
 	switch {
 	case f.started:
-		f.reason = reason
-		f.status = -1
-		panic(http.ErrAbortHandler)
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		f.reason = "caller gone"
-		f.status = -1
+		f.abort(reason)
+	case isGone(ctx):
+		f.abort("caller gone")
 	case !f.mayHaveRun:
 		f.refuse(http.StatusServiceUnavailable, refusePause, reason)
 	case ctx.Err() != nil:
@@ -234,6 +232,19 @@
 	}
 }
 
+// isGone reports whether the caller has left.
+func isGone(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
+// abort breaks off the connection. A handler that returns without a word would
+// send an empty answer, which a caller that only closed its sending side takes
+// for the whole one.
+func (f *flow) abort(reason string) {
+	f.status, f.reason = statusAborted, reason
+	panic(http.ErrAbortHandler)
+}
+
 func (f *flow) refuse(status int, retry time.Duration, reason string) {
 	f.status, f.reason = status, reason
 	h := f.w.Header()
--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -351,7 +351,9 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			r := newRig(t, reply{hang: true}, good)
 			time.AfterFunc(100*time.Millisecond, cancel)
-			r.serve(ctx, request("/read/"))
+			if got := r.serve(ctx, request("/read/")); !got.Aborted {
+				t.Errorf("a caller that closed its sending side gets %+v", got)
+			}
 			if len(r.ups.seen) != 1 || r.ups.seen[0].Context().Err() == nil {
 				t.Errorf("%d attempts, the first not ended", len(r.ups.seen))
 			}
