--- /dev/null
+++ b/core/process/mplog/story_test.go
@@ -0,0 +1,81 @@
+package mplog
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/common/mperror"
+)
+
+const ownerLog = `level=info at=2026-12-04T05:00:00.5Z vm=b msg=batch pool=p upstream=u9 call=7 pieces=8 took=280ms ending=0
+level=info at=2026-12-04T05:00:00.51Z vm=b msg=stage id=r1 pool=p stage=0 pieces=2 first=10ms last=10ms took=300ms calls=7,8 err=null
+level=info at=2026-12-04T05:00:00.51Z vm=b msg=stage id=r2 pool=p stage=0 pieces=2 calls=7 err=null
+`
+
+const entryLog = `   28.1 front-a level=info at=2026-12-04T05:00:00.7Z vm=a msg=request id=r1 route=x status=502 reason="send: connection reset" upstream=u1 sends=1 stages=320ms took=650ms
+level=warn msg="log lines dropped" at=2026-12-04T05:00:01Z vm=a lines=12
+`
+
+func messages(s Story) []string {
+	var out []string
+	for _, l := range s.Lines {
+		out = append(out, l.VM+" "+l.Msg)
+	}
+	return out
+}
+
+func checkStory(t *testing.T, s Story, want, gaps []string) {
+	t.Helper()
+	if diff := cmp.Diff(want, messages(s)); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(gaps, s.Gaps); diff != "" {
+		t.Errorf("gaps (-want +got):\n%s", diff)
+	}
+}
+
+func TestExplain(t *testing.T) {
+	t.Run("a request's life over two VMs, in order", func(t *testing.T) {
+		s, err := Explain("r1", strings.NewReader(entryLog), strings.NewReader(ownerLog))
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkStory(t, s, []string{"b batch", "b stage", "a request"}, []string{
+			"no line for call 8 to p by b: it had not ended, or its line was lost", "a dropped 12 lines about then",
+		})
+		var text strings.Builder
+		if err := s.WriteText(&text); err != nil {
+			t.Fatal(err)
+		}
+		if want := "0.200 s  a                    request route=x status=502 reason=send: connection reset"; !strings.Contains(text.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, text.String())
+		}
+	})
+	t.Run("a missing log is named", func(t *testing.T) {
+		s, err := Explain("r1", strings.NewReader(entryLog))
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkStory(t, s, []string{"a request"}, []string{
+			"the request spent 320ms in stages, and no line tells of one: the log of the pool's owner is not among the files",
+			"a dropped 12 lines about then",
+		})
+	})
+	t.Run("a request that nobody ended is named", func(t *testing.T) {
+		s, err := Explain("r2", strings.NewReader(ownerLog))
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkStory(t, s, []string{"b batch", "b stage"}, []string{
+			"no line for the end of the request: its VM ended before it, or its log is not among the files",
+		})
+	})
+	t.Run("an unknown request", func(t *testing.T) {
+		if _, err := Explain("r3", strings.NewReader(ownerLog)); !errors.Is(err, mperror.ErrNotFound) {
+			t.Errorf("got %v, want ErrNotFound", err)
+		}
+	})
+}
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,10 +139,21 @@
 	o.cfg.Metrics.Took("stage", o.cfg.Clock().Sub(begun))
 	first, last := j.Waits()
 	_ = level.Info(o.cfg.Logger).Log("msg", "stage", "id", ask.Request, "pool", pool, "stage", ask.Stage, "pieces", ask.Count,
-		"priority", ask.Priority, "first", first, "last", last, "took", o.cfg.Clock().Sub(begun), "err", err)
+		"priority", ask.Priority, "first", first, "last", last, "took", o.cfg.Clock().Sub(begun), "calls", callList(j.Calls()), "err", err)
 	return made, err
 }
 
+func callList(ids []uint64) string {
+	var b strings.Builder
+	for i, id := range ids {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(id, 10))
+	}
+	return b.String()
+}
+
 // Free gives up results that this owner or another one made. With spare they
 // are given up only when memory is short.
 func (o *Owner) Free(pool string, handles []string, spare bool) {
@@ -219,7 +232,7 @@
 	l.o.cfg.Metrics.Add("batch.calls", 1)
 	l.o.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	l.o.cfg.Metrics.Took("batch", now.Sub(begun))
-	_ = level.Info(l.o.cfg.Logger).Log("msg", "batch", "pool", l.pool, "upstream", c.Upstream.ID, "pieces", len(c.Items),
+	_ = level.Info(l.o.cfg.Logger).Log("msg", "batch", "pool", l.pool, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
 		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending)
 	l.mu.Lock()
 	l.group.Finish(now, c.ID, out)
--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -380,6 +380,9 @@
 		j.begun = f.started
 	}
 	j.full = f.started
+	if len(j.calls) == 0 || j.calls[len(j.calls)-1] != f.call.ID {
+		j.calls = append(j.calls, f.call.ID)
+	}
 	if j.near == "" {
 		j.near = s.up.DC
 	}
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -110,8 +110,10 @@
 	// begun is when the first, and full when the last piece was put in a call.
 	begun, full time.Time
 	pieces      []piece
-	left        int
-	tries       int
+	// calls lists the calls that pieces were put in.
+	calls []uint64
+	left  int
+	tries int
 	// near is the data centre of the first piece; the others follow it, since
 	// their results are read together.
 	near string
@@ -177,6 +179,10 @@
 	return j.begun.Sub(j.arrived), j.full.Sub(j.arrived)
 }
 
+// Calls returns the ids of the calls that pieces were put in. They are read
+// after Done is closed.
+func (j *Job) Calls() []uint64 { return j.calls }
+
 func (j *Job) isDone() bool {
 	select {
 	case <-j.done:
--- a/mustardpost/commands/app.go
+++ b/mustardpost/commands/app.go
@@ -30,7 +30,7 @@
 		},
 		Commands: []*cli.Command{
 			catalogue(), marks("dc", "data centre"), marks("vm", "VM"), marks("upstream", "upstream"),
-			status(), audit(), settings(), hash(),
+			status(), audit(), explain(), settings(), hash(),
 		},
 		ExitErrHandler: func(*cli.Context, error) {},
 		Description: "Exit codes: 0 done, 1 failed, 2 invalid, 3 conflict, 4 not found, 5 may have taken effect,\n" +
