--- a/core/process/mplog/ring_test.go
+++ b/core/process/mplog/ring_test.go
@@ -35,7 +35,7 @@
 			if len(r.buf) > ringBytes {
 				t.Errorf("%d bytes wait, want %d at most", len(r.buf), ringBytes)
 			}
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 			close(sink.free)
 			r.Close(time.Minute)
 			if r.Dropped() == 0 || !strings.Contains(sink.got.String(), "log lines dropped") {
@@ -48,7 +48,7 @@
 			var sink bytes.Buffer
 			r := NewRing(&sink)
 			_, _ = r.Write([]byte("a\n"))
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 			_, _ = r.Write([]byte("b\n"))
 			r.Close(time.Minute)
 			if got := sink.String(); got != "a\nb\n" {
--- /dev/null
+++ b/core/request/mpbatch/admit.go
@@ -0,0 +1,122 @@
+package mpbatch
+
+import (
+	"slices"
+	"time"
+
+	"mustardpost.org/core/common/mperror"
+)
+
+const (
+	// lateMost is how long a job that will be late may still have to wait: a
+	// caller asks again sooner than that.
+	lateMost = 800 * time.Millisecond
+	// checkEvery bounds the work of looking for jobs without hope.
+	checkEvery = 50 * time.Millisecond
+)
+
+// Add queues ask, or returns an error that wraps ErrLate when it cannot end
+// before its deadline, or ErrEmpty when there is no upstream.
+func (g *Group) Add(now time.Time, ask Ask) (*Job, error) {
+	if len(g.order) == 0 {
+		return nil, mperror.Wrap(mperror.ErrEmpty, "stage %d", ask.Stage)
+	}
+	g.jobs++
+	j := &Job{seq: g.jobs, ask: ask, arrived: now, pieces: make([]piece, ask.Count), left: ask.Count, done: make(chan struct{})}
+	j.least = g.cfg.Spec.Call + time.Duration(min(ask.Count, g.cfg.Spec.Size))*g.cfg.Spec.Item
+	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) || g.isHopeless(now, j) {
+		return nil, mperror.Wrap(mperror.ErrLate, "stage %d: expected to take %v", ask.Stage, wait)
+	}
+	g.queue = append(g.queue, j)
+	g.again = min(g.again+againShare*float64(ask.Count), againBurst)
+	return j, nil
+}
+
+// Estimate returns how long j, which need not be queued yet, is expected to take.
+func (g *Group) Estimate(now time.Time, j *Job) time.Duration {
+	ahead := j.left
+	for _, o := range g.queue {
+		if o != j && o.isBefore(now, j) {
+			ahead += o.left
+		}
+	}
+	var rate float64
+	soonest := time.Duration(-1)
+	for _, s := range g.order {
+		if !s.listed || s.until.Sub(now) > avoidFirst {
+			continue
+		}
+		full := g.length(s, g.cfg.Spec.Size)
+		rate += float64(g.cfg.Spec.Size) / full.Seconds()
+		wait := time.Duration(0)
+		if s.call != nil {
+			wait = max(s.call.started.Add(s.call.call.Expected).Sub(now), 0)
+		}
+		if soonest < 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	if rate == 0 {
+		return g.cfg.Spec.Keep
+	}
+	own := g.cfg.Spec.Call + time.Duration(min(j.left, g.cfg.Spec.Size))*g.cfg.Spec.Item
+	behind := max(ahead-g.cfg.Spec.Size, 0)
+	return soonest + time.Duration(float64(behind)/rate*float64(time.Second)) + own
+}
+
+// isHopeless reports whether j will be late and would wait long behind work that
+// can be on time. Its caller is better served by a refusal now.
+func (g *Group) isHopeless(now time.Time, j *Job) bool {
+	if !j.begun.IsZero() {
+		return false
+	}
+	wait := g.Estimate(now, j)
+	return now.Add(wait).After(j.ask.Aim) && wait > lateMost
+}
+
+func (g *Group) length(s *server, pieces int) time.Duration {
+	plain := g.cfg.Spec.Call + time.Duration(pieces)*g.cfg.Spec.Item
+	return time.Duration(float64(plain) * s.pace)
+}
+
+// Cancel ends a job whose request has gone. Pieces that are being made are freed
+// when they are done.
+func (g *Group) Cancel(j *Job) { g.end(j, mperror.ErrLate) }
+
+// expire ends the jobs that cannot be done in time, and forgets results that
+// their makers have dropped.
+func (g *Group) expire(now time.Time) {
+	least := g.cfg.Spec.Call + g.cfg.Spec.Item
+	for _, j := range slices.Clone(g.queue) {
+		untouched := !slices.ContainsFunc(j.pieces, func(p piece) bool { return p.state == running })
+		if now.After(j.ask.Deadline) || untouched && now.Add(least).After(j.ask.Deadline) {
+			g.end(j, mperror.Wrap(mperror.ErrLate, "stage %d: waited %v", j.ask.Stage, now.Sub(j.arrived)))
+		}
+	}
+	if now.Sub(g.checked) >= checkEvery {
+		g.checked = now
+		g.dropHopeless(now)
+	}
+	for h, k := range g.results {
+		if now.After(k.until) {
+			g.forget(h)
+		}
+	}
+}
+
+// dropHopeless refuses the jobs that will be late and wait long, the last in
+// order first, since each that goes shortens the wait of those behind it.
+func (g *Group) dropHopeless(now time.Time) {
+	queue := slices.Clone(g.queue)
+	slices.SortStableFunc(queue, func(a, b *Job) int {
+		if a.isBefore(now, b) {
+			return 1
+		}
+		return -1
+	})
+	for _, j := range queue {
+		if g.isHopeless(now, j) {
+			g.end(j, mperror.Wrap(mperror.ErrLate, "stage %d: late, and others are not", j.ask.Stage))
+		}
+	}
+}
