mpbatch, mppass: Tell a refused caller when the work ahead will be done

Retry-After was 0.5 s whatever the load; it is now the time that the job was expected to take, 0.5 to 5 s.

--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -228,6 +228,10 @@
 	case err == nil:
 	case errors.Is(err, mperror.ErrLate):
 		reply.Cause = mpwire.MakeReply_LATE
+		var late *mpbatch.LateError
+		if errors.As(err, &late) {
+			reply.RetryMs = uint32(min(max(late.Wait.Milliseconds(), 0), math.MaxInt32))
+		}
 	case errors.Is(err, mperror.ErrEmpty):
 		reply.Cause = mpwire.MakeReply_FULL
 	case errors.Is(err, mperror.ErrNotFound):
@@ -250,7 +254,8 @@
 		}
 		return made, nil
 	case mpwire.MakeReply_LATE:
-		return nil, mperror.Wrap(mperror.ErrLate, "owner")
+		wait := time.Duration(r.GetRetryMs()) * time.Millisecond
+		return nil, mperror.Wrap(&mpbatch.LateError{Wait: wait}, "owner")
 	case mpwire.MakeReply_FULL:
 		return nil, mperror.Wrap(mperror.ErrEmpty, "owner")
 	case mpwire.MakeReply_GONE:
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -25,7 +25,7 @@
 	j := &Job{seq: g.jobs, ask: ask, arrived: now, pieces: make([]piece, ask.Count), left: ask.Count, done: make(chan struct{})}
 	j.least = g.cfg.Spec.Call + time.Duration(min(ask.Count, g.cfg.Spec.Size))*g.cfg.Spec.Item
 	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) || g.isHopeless(now, j) {
-		return nil, mperror.Wrap(mperror.ErrLate, "stage %d: expected to take %v", ask.Stage, wait)
+		return nil, &LateError{Stage: ask.Stage, Wait: wait}
 	}
 	g.queue = append(g.queue, j)
 	g.again = min(g.again+againShare*float64(ask.Count), againBurst)
@@ -116,7 +116,7 @@
 	})
 	for _, j := range queue {
 		if g.isHopeless(now, j) {
-			g.end(j, mperror.Wrap(mperror.ErrLate, "stage %d: late, and others are not", j.ask.Stage))
+			g.end(j, &LateError{Stage: j.ask.Stage, Wait: g.Estimate(now, j)})
 		}
 	}
 }
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -5,7 +5,12 @@
 // package starts nothing itself; its owner carries out the calls it returns.
 package mpbatch
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"mustardpost.org/core/common/mperror"
+)
 
 // Ask is one stage of one request.
 type Ask struct {
@@ -99,6 +104,20 @@
 	Made   []Made
 }
 
+// LateError is the refusal of a job that would be late. It wraps ErrLate.
+type LateError struct {
+	Stage int
+	// Wait is how long the job was expected to take.
+	Wait time.Duration
+}
+
+func (e *LateError) Error() string {
+	return fmt.Sprintf("stage %d: expected to take %v: %v", e.Stage, e.Wait.Round(time.Millisecond), mperror.ErrLate)
+}
+
+// Unwrap returns ErrLate.
+func (e *LateError) Unwrap() error { return mperror.ErrLate }
+
 // Job is an Ask in the group. Its fields are read after Done is closed.
 type Job struct {
 	ask     Ask
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -14,6 +14,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
@@ -23,6 +24,8 @@
 const (
 	// refusePause is told to callers whose request was refused for a passing reason.
 	refusePause = 500 * time.Millisecond
+	// mostPause bounds what a refused caller is told: forecasts do not reach further.
+	mostPause = 5 * time.Second
 	// mostSends bounds how often a request is sent when upstreams say that they
 	// did not run it.
 	mostSends = 3
@@ -213,7 +216,13 @@
 	if isGone(ctx) {
 		f.abort("caller gone")
 	}
-	f.refuse(http.StatusServiceUnavailable, refusePause, "stages: "+err.Error())
+	pause := refusePause
+	var late *mpbatch.LateError
+	if errors.As(err, &late) {
+		// By then the work that is ahead now is done.
+		pause = min(max(pause, late.Wait), mostPause)
+	}
+	f.refuse(http.StatusServiceUnavailable, pause, "stages: "+err.Error())
 }
 
 // giveUp gives the final answer to a request that no upstream answered.
--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -396,6 +396,16 @@
 		r.maker.errs = []error{mperror.ErrLate}
 		checkAnswer(t, answer{Status: 503}, r.serve(t.Context(), staged()))
 	})
+	t.Run("it is told when the work ahead will be done", func(t *testing.T) {
+		for wait, want := range map[time.Duration]string{0: "0.500", 1700 * time.Millisecond: "1.700", time.Minute: "5.000"} {
+			r, w := newRig(t), httptest.NewRecorder()
+			r.maker.errs = []error{mperror.Wrap(&mpbatch.LateError{Wait: wait}, "owner")}
+			r.p.Serve(t.Context(), w, staged())
+			if got := w.Header().Get("Retry-After"); got != want {
+				t.Errorf("told %s after a wait of %v, want %s", got, wait, want)
+			}
+		}
+	})
 	t.Run("pieces for another number of stages are refused", func(t *testing.T) {
 		q := staged()
 		q.Pieces = []int{1}
