mpbatch: Free the results of a job that is given up just after its end

Found by reading: where the caller left in the moment in which its stage ended, the results kept their memory until their keep time was over.

--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -80,8 +80,16 @@
 }
 
 // Cancel ends a job whose request has gone. Pieces that are being made are freed
-// when they are done.
-func (g *Group) Cancel(j *Job) { g.end(j, mperror.ErrLate) }
+// when they are done; so are the results of a job that ended just before.
+func (g *Group) Cancel(j *Job) {
+	if j.isDone() && j.err == nil {
+		for _, p := range j.pieces {
+			g.free(p.handle)
+		}
+		return
+	}
+	g.end(j, mperror.ErrLate)
+}
 
 // expire ends the jobs that cannot be done in time, and forgets results that
 // their makers have dropped.
--- a/core/request/mpbatch/group_test.go
+++ b/core/request/mpbatch/group_test.go
@@ -256,3 +256,18 @@
 	m.run(300 * time.Millisecond)
 	checkMadeAt(t, j, "b")
 }
+
+func TestCancel(t *testing.T) {
+	for name, at := range map[string]time.Duration{"while it is made": 50 * time.Millisecond, "just after its end": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			m := newSim(t, spec(), Upstream{ID: "u1", DC: "a"})
+			j := m.ask(Ask{Request: "r", Count: 2, Bytes: 3_000_000}, time.Second)
+			m.run(at)
+			m.g.Cancel(j)
+			m.run(300 * time.Millisecond)
+			if freed := m.g.TakeFreed(); len(freed) != 2 {
+				t.Errorf("freed %v, want both results", freed)
+			}
+		})
+	}
+}
