--- a/core/process/mplog/ring_test.go
+++ b/core/process/mplog/ring_test.go
@@ -32,8 +32,11 @@
 			if took := time.Since(begun); took > 0 {
 				t.Errorf("writing took %v", took)
 			}
-			if len(r.buf) > ringBytes {
-				t.Errorf("%d bytes wait, want %d at most", len(r.buf), ringBytes)
+			r.mu.Lock()
+			waiting := len(r.buf)
+			r.mu.Unlock()
+			if waiting > ringBytes {
+				t.Errorf("%d bytes wait, want %d at most", waiting, ringBytes)
 			}
 			<-time.After(time.Second)
 			close(sink.free)
