--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -191,6 +191,8 @@
 	return out
 }
 
+// run makes the stages and sends the request. Where results are gone by the
+// time they are read, it does so once more.
 func (f *flow) run(ctx context.Context) {
 	for remade := 0; ; remade++ {
 		err := f.makeStages(ctx)
@@ -254,6 +256,8 @@
 	panic(http.ErrAbortHandler)
 }
 
+// refuse answers for the system itself. The reason is logged only: it may name
+// addresses that are no business of callers.
 func (f *flow) refuse(status int, retry time.Duration, reason string) {
 	f.status, f.reason = status, reason
 	h := f.w.Header()
@@ -261,7 +265,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain")
-	body := http.StatusText(status) + ": " + reason + "\n"
+	body := http.StatusText(status) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	f.w.WriteHeader(status)
 	_, _ = f.w.Write([]byte(body))
--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -250,6 +250,13 @@
 			checkAnswer(t, c.want, newRig(t, good).serve(t.Context(), q))
 		})
 	}
+	t.Run("callers are not told addresses of upstreams", func(t *testing.T) {
+		r, w := newRig(t, reply{refuse: true}, reply{refuse: true}), httptest.NewRecorder()
+		r.p.Serve(t.Context(), w, request("/post/"))
+		if diff := cmp.Diff("Service Unavailable\n", w.Body.String()); diff != "" {
+			t.Errorf("body (-want +got):\n%s", diff)
+		}
+	})
 	t.Run("a VM without a plan refuses", func(t *testing.T) {
 		r := newRig(t)
 		r.p.cfg.State = fixed{}
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -246,8 +246,8 @@
 	}
 }
 
-// Suspect reports whether the upstream failed lately.
-func (s *Selector) Suspect(now time.Time, id string) bool {
+// isSuspect reports whether the upstream failed lately.
+func (s *Selector) isSuspect(now time.Time, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return now.Before(s.state(id).until)
--- a/core/request/mpselect/mpselect_test.go
+++ b/core/request/mpselect/mpselect_test.go
@@ -77,7 +77,7 @@
 		if second := pick(t, s, now, engines(2), ask); second == first {
 			t.Errorf("%s was chosen again at once", first)
 		}
-		if !s.Suspect(now, first) || s.Suspect(now.Add(suspectMost), first) {
+		if !s.isSuspect(now, first) || s.isSuspect(now.Add(suspectMost), first) {
 			t.Error("the pause does not end")
 		}
 	})
--- a/core/version/mproute/table.go
+++ b/core/version/mproute/table.go
@@ -174,16 +174,6 @@
 // Pool returns the pool called name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
-// Pools returns all pools, in the order of their names.
-func (t *Table) Pools() []*Pool {
-	out := make([]*Pool, 0, len(t.pools))
-	for _, p := range t.pools {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *Pool) int { return cmp.Compare(a.spec.Name, b.spec.Name) })
-	return out
-}
-
 // Draw returns a pool of the route by weight.
 func (r *Route) Draw(rng *rand.Rand) string {
 	at := rng.Float64() * r.total
