mpbatch, mppass, mproute: Compute the length of a call and the order of jobs once

Found by reading the change again: call time plus piece times stood in six places, the end and the limit of a call in two each, the order of jobs in two comparators, and a job's estimate was computed two or three times for one verdict. Each is one function now. A random generator for each request, a name table for each counter, and a second reading of the clock for each attempt are gone.

--- a/core/process/mplog/story.go
+++ b/core/process/mplog/story.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -120,7 +119,7 @@
 			l.Fields = append(l.Fields, Field{key, value})
 		}
 	}
-	return l, errors.Is(d.Err(), nil) && l.Msg != ""
+	return l, d.Err() == nil && l.Msg != ""
 }
 
 // addCalls adds the calls that the request's stages name.
--- a/core/process/mpmetric/mpmetric.go
+++ b/core/process/mpmetric/mpmetric.go
@@ -44,8 +44,8 @@
 	s.text.GetOrCreateHistogram(textName(name) + "_seconds").Update(d.Seconds())
 }
 
-// Gauge publishes the value that f returns when read. Values that are neither
-// numbers nor truth values are left out of the text.
+// Gauge publishes the value that f returns when read. In the text, values that
+// are neither numbers nor truth values stand as 0.
 func (s *Set) Gauge(name string, f func() any) {
 	s.root.Set(name, expvar.Func(f))
 	s.text.GetOrCreateGauge(textName(name), func() float64 { return number(f()) })
@@ -71,10 +71,11 @@
 	return 0
 }
 
+// unscrapable holds the characters of names that scrapers do not allow.
+var unscrapable = strings.NewReplacer(".", "_", "-", "_")
+
 // textName returns the form of name that scrapers allow.
-func textName(name string) string {
-	return "mustardpost_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-}
+func textName(name string) string { return "mustardpost_" + unscrapable.Replace(name) }
 
 // Count returns the counter called name.
 func (s *Set) Count(name string) int64 {
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -23,8 +23,8 @@
 	}
 	g.jobs++
 	j := &Job{seq: g.jobs, ask: ask, arrived: now, pieces: make([]piece, ask.Count), left: ask.Count, done: make(chan struct{})}
-	j.least = g.cfg.Spec.Call + time.Duration(min(ask.Count, g.cfg.Spec.Size))*g.cfg.Spec.Item
-	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) || g.isHopeless(now, j) {
+	j.least = g.cfg.Spec.Length(ask.Count)
+	if wait := g.Estimate(now, j); now.Add(wait).After(ask.Deadline) || j.isHopeless(now, wait) {
 		return nil, &LateError{Stage: ask.Stage, Wait: wait}
 	}
 	g.queue = append(g.queue, j)
@@ -36,7 +36,7 @@
 func (g *Group) Estimate(now time.Time, j *Job) time.Duration {
 	ahead := j.left
 	for _, o := range g.queue {
-		if o != j && o.isBefore(now, j) {
+		if o != j && o.compare(now, j) < 0 {
 			ahead += o.left
 		}
 	}
@@ -50,7 +50,7 @@
 		rate += float64(g.cfg.Spec.Size) / full.Seconds()
 		wait := time.Duration(0)
 		if s.call != nil {
-			wait = max(s.call.started.Add(s.call.call.Expected).Sub(now), 0)
+			wait = s.call.left(now)
 		}
 		if soonest < 0 || wait < soonest {
 			soonest = wait
@@ -59,33 +59,26 @@
 	if rate == 0 {
 		return g.cfg.Spec.Keep
 	}
-	own := g.cfg.Spec.Call + time.Duration(min(j.left, g.cfg.Spec.Size))*g.cfg.Spec.Item
 	behind := max(ahead-g.cfg.Spec.Size, 0)
-	return soonest + time.Duration(float64(behind)/rate*float64(time.Second)) + own
+	return soonest + time.Duration(float64(behind)/rate*float64(time.Second)) + g.cfg.Spec.Length(j.left)
 }
 
-// isHopeless reports whether j will be late and would wait long behind work that
-// can be on time. Its caller is better served by a refusal now.
-func (g *Group) isHopeless(now time.Time, j *Job) bool {
-	if !j.begun.IsZero() {
-		return false
-	}
-	wait := g.Estimate(now, j)
-	return now.Add(wait).After(j.ask.Aim) && wait > lateMost
+// isHopeless reports whether j, expected to take wait, will be late and would wait
+// long behind work that can be on time. Its caller is better served by a refusal now.
+func (j *Job) isHopeless(now time.Time, wait time.Duration) bool {
+	return j.begun.IsZero() && wait > lateMost && now.Add(wait).After(j.ask.Aim)
 }
 
+// length returns how long a call with that many pieces takes at s.
 func (g *Group) length(s *server, pieces int) time.Duration {
-	plain := g.cfg.Spec.Call + time.Duration(pieces)*g.cfg.Spec.Item
-	return time.Duration(float64(plain) * s.pace)
+	return time.Duration(float64(g.cfg.Spec.Length(pieces)) * s.pace)
 }
 
 // Cancel ends a job whose request has gone. Pieces that are being made are freed
 // when they are done; so are the results of a job that ended just before.
 func (g *Group) Cancel(j *Job) {
 	if j.isDone() && j.err == nil {
-		for _, p := range j.pieces {
-			g.free(p.handle)
-		}
+		g.freeMade(j)
 		return
 	}
 	g.end(j, mperror.ErrLate)
@@ -94,7 +87,7 @@
 // expire ends the jobs that cannot be done in time, and forgets results that
 // their makers have dropped.
 func (g *Group) expire(now time.Time) {
-	least := g.cfg.Spec.Call + g.cfg.Spec.Item
+	least := g.cfg.Spec.Length(1)
 	for _, j := range slices.Clone(g.queue) {
 		untouched := !slices.ContainsFunc(j.pieces, func(p piece) bool { return p.state == running })
 		if now.After(j.ask.Deadline) || untouched && now.Add(least).After(j.ask.Deadline) {
@@ -116,15 +109,10 @@
 // order first, since each that goes shortens the wait of those behind it.
 func (g *Group) dropHopeless(now time.Time) {
 	queue := slices.Clone(g.queue)
-	slices.SortStableFunc(queue, func(a, b *Job) int {
-		if a.isBefore(now, b) {
-			return 1
-		}
-		return -1
-	})
+	slices.SortFunc(queue, func(a, b *Job) int { return b.compare(now, a) })
 	for _, j := range queue {
-		if g.isHopeless(now, j) {
-			g.end(j, &LateError{Stage: j.ask.Stage, Wait: g.Estimate(now, j)})
+		if wait := g.Estimate(now, j); j.isHopeless(now, wait) {
+			g.end(j, &LateError{Stage: j.ask.Stage, Wait: wait})
 		}
 	}
 }
--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -90,11 +90,7 @@
 	}
 	j.err = err
 	if err != nil {
-		for _, p := range j.pieces {
-			if p.handle != "" {
-				g.free(p.handle)
-			}
-		}
+		g.freeMade(j)
 	}
 	g.queue = slices.DeleteFunc(g.queue, func(o *Job) bool { return o == j })
 	close(j.done)
@@ -104,15 +100,7 @@
 func (g *Group) Next(now time.Time) []Call {
 	g.expire(now)
 	g.remake(now)
-	slices.SortStableFunc(g.queue, func(a, b *Job) int {
-		switch {
-		case a.isBefore(now, b):
-			return -1
-		case b.isBefore(now, a):
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(g.queue, func(a, b *Job) int { return a.compare(now, b) })
 	var open []*flight
 	g.promised = map[string]int{}
 	for _, j := range g.queue {
@@ -146,11 +134,10 @@
 	delete(g.flights, id)
 	s := g.servers[f.call.Upstream.ID]
 	s.call = nil
-	took := now.Sub(f.started)
 	switch out.Ending {
 	case Answered:
 		s.breaks = 0
-		s.observe(took, g.cfg.Spec.Call+time.Duration(len(f.jobs))*g.cfg.Spec.Item)
+		s.observe(now.Sub(f.started), g.cfg.Spec.Length(len(f.jobs)))
 	case Refused:
 		s.until = now.Add(avoidFull)
 	case Broken:
@@ -214,7 +201,7 @@
 	}
 	for _, f := range g.flights {
 		if !f.overdue {
-			sooner(f.started.Add(time.Duration(overdueTimes*float64(f.call.Expected)) + overdueSlack))
+			sooner(f.overdueAt())
 		}
 	}
 	for _, j := range g.queue {
@@ -226,15 +213,13 @@
 	if len(g.queue) > 0 {
 		for _, s := range g.order {
 			sooner(s.until)
-		}
-		for _, k := range g.results {
-			sooner(k.until)
-		}
-		for _, s := range g.order {
 			if now.Before(s.foreignUntil) {
 				sooner(now.Add(avoidRoom))
 			}
 		}
+		for _, k := range g.results {
+			sooner(k.until)
+		}
 	}
 	return at
 }
@@ -244,7 +229,7 @@
 	n := 0
 	for _, j := range g.queue {
 		for _, p := range j.pieces {
-			if p.state == waiting {
+			if isWaiting(p) {
 				n++
 			}
 		}
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -1,8 +1,6 @@
 package mpbatch
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// againShare of the pieces may be made a second time because a call is
@@ -17,8 +15,7 @@
 // remake gives the pieces of overdue calls to other upstreams as well.
 func (g *Group) remake(now time.Time) {
 	for _, f := range g.flights {
-		limit := time.Duration(overdueTimes*float64(f.call.Expected)) + overdueSlack
-		if f.overdue || now.Sub(f.started) < limit || g.again < float64(len(f.jobs)) {
+		if f.overdue || now.Before(f.overdueAt()) || g.again < float64(len(f.jobs)) {
 			continue
 		}
 		f.overdue = true
@@ -50,13 +47,7 @@
 	}
 	var pick *server
 	for _, s := range g.order {
-		if !s.isFree(now) {
-			continue
-		}
-		if !g.hasRoom(now, s, j) {
-			continue
-		}
-		if pick == nil || g.isBetter(s, pick, j) {
+		if s.isFree(now) && g.hasRoom(now, s, j) && (pick == nil || g.isBetter(s, pick, j)) {
 			pick = s
 		}
 	}
@@ -85,11 +76,7 @@
 		if g.promised[s.up.ID] >= g.cfg.Spec.Size {
 			continue
 		}
-		free := s.call.started.Add(s.call.call.Expected)
-		if free.Before(now) {
-			free = now
-		}
-		if free.Add(g.length(s, g.cfg.Spec.Size)).Before(j.ask.Aim) {
+		if now.Add(s.call.left(now) + g.length(s, g.cfg.Spec.Size)).Before(j.ask.Aim) {
 			g.promised[s.up.ID]++
 			return true
 		}
--- a/core/request/mpbatch/results.go
+++ b/core/request/mpbatch/results.go
@@ -20,8 +20,17 @@
 
 func (g *Group) free(handle string) { g.freed = append(g.freed, handle) }
 
+// freeMade frees the results of j.
+func (g *Group) freeMade(j *Job) {
+	for _, p := range j.pieces {
+		if p.handle != "" {
+			g.free(p.handle)
+		}
+	}
+}
+
 // FreeIfShort notes results that their readers have fetched but may need again
-// if a call fails. They are given up only while pieces wait for memory.
+// if a call fails. They are given up only while their maker is short of memory.
 func (g *Group) FreeIfShort(handles []string) { g.spare = append(g.spare, handles...) }
 
 // Freed takes in that the makers of results have dropped them.
--- a/core/request/mpbatch/server.go
+++ b/core/request/mpbatch/server.go
@@ -50,6 +50,16 @@
 	overdue bool
 }
 
+// left returns how long the call is expected to go on, 0 when it should have ended.
+func (f *flight) left(now time.Time) time.Duration {
+	return max(f.started.Add(f.call.Expected).Sub(now), 0)
+}
+
+// overdueAt returns when the call has taken too long.
+func (f *flight) overdueAt() time.Time {
+	return f.started.Add(time.Duration(overdueTimes*float64(f.call.Expected)) + overdueSlack)
+}
+
 func (s *server) isFree(now time.Time) bool {
 	return s.listed && s.call == nil && !now.Before(s.until)
 }
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -6,6 +6,7 @@
 package mpbatch
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -216,14 +217,14 @@
 	return j.begun.IsZero() && now.Add(j.least).After(j.ask.Aim)
 }
 
-// isBefore orders the queue.
-func (j *Job) isBefore(now time.Time, o *Job) bool {
-	late, otherLate := j.isLate(now), o.isLate(now)
-	switch {
-	case late != otherLate:
-		return otherLate
-	case j.ask.Priority != o.ask.Priority:
-		return j.ask.Priority < o.ask.Priority
+// compare orders the queue: what can still be on time, then by priority, then
+// by arrival. No two jobs are equal.
+func (j *Job) compare(now time.Time, o *Job) int {
+	if late := j.isLate(now); late != o.isLate(now) {
+		if late {
+			return 1
+		}
+		return -1
 	}
-	return j.seq < o.seq
+	return cmp.Or(cmp.Compare(j.ask.Priority, o.ask.Priority), cmp.Compare(j.seq, o.seq))
 }
--- a/core/request/mppass/attempt.go
+++ b/core/request/mppass/attempt.go
@@ -95,13 +95,13 @@
 	f.sends++
 	f.sent = f.p.cfg.Clock()
 	f.upstream = row.ID
-	begun := f.p.cfg.Clock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := f.watch(cancel, left, last)
 	defer watch.Stop()
 	v, ending, why := f.exchange(ctx, row, left, watch, last)
-	f.p.cfg.Selector.Done(f.p.cfg.Clock(), row.ID, f.ask, ending, f.p.cfg.Clock().Sub(begun))
+	now := f.p.cfg.Clock()
+	f.p.cfg.Selector.Done(now, row.ID, f.ask, ending, now.Sub(f.sent))
 	return v, why
 }
 
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -159,7 +159,7 @@
 		patience := max(leastPatience, patientAims*spec.Aim, patientGaps*spec.Gap)
 		f.begin = f.start.Add(min(patience, left))
 	}
-	f.pool = f.table.Pool(f.route.Draw(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	f.pool = f.table.Pool(f.route.Draw(rand.Float64()))
 	f.ask = f.p.asks(f.r, f.pool)
 	f.p.cfg.Budget(f.pool.Spec().Name).Earn()
 	return true
@@ -203,14 +203,15 @@
 			f.refuseStages(ctx, err)
 			return
 		}
-		if !f.attempts(ctx) || remade == remakes {
-			break
+		if !f.attempts(ctx) {
+			return
+		}
+		if remade == remakes {
+			f.giveUp(ctx, "results of stages are gone")
+			return
 		}
 		f.freeInputs()
 	}
-	if f.status == 0 {
-		f.giveUp(ctx, "results of stages are gone")
-	}
 }
 
 // refuseStages answers a request whose stages were not made: it has not run.
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -7,7 +7,6 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/request/mpbatch"
-	"mustardpost.org/core/version/mproute"
 )
 
 // largeResult is the size from which a result is made as late as its reader
@@ -241,14 +240,9 @@
 }
 
 func (s *stageRun) length(i int) time.Duration {
-	return shortest(s.f.table.Pool(s.pool(i)), s.counts[i])
-}
-
-// shortest returns how long an idle upstream takes for a call with n pieces.
-func shortest(pool *mproute.Pool, n int) time.Duration {
-	b := pool.Spec().Batch
+	b := s.f.table.Pool(s.pool(i)).Spec().Batch
 	if b == nil {
 		return 0
 	}
-	return b.Call + time.Duration(min(n, b.Size))*b.Item
+	return b.Length(s.counts[i])
 }
--- a/core/version/mproute/mproute_test.go
+++ b/core/version/mproute/mproute_test.go
@@ -93,7 +93,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	counts := map[string]int{}
 	for range 1000 {
-		counts[table.Find("h", "/a/").Draw(rng)]++
+		counts[table.Find("h", "/a/").Draw(rng.Float64())]++
 	}
 	if counts["q"] < 70 || counts["q"] > 130 || counts["p"]+counts["q"] != 1000 {
 		t.Errorf("drawn %v, want about 900 of p and 100 of q", counts)
--- a/core/version/mproute/spec.go
+++ b/core/version/mproute/spec.go
@@ -77,6 +77,12 @@
 	Queue int
 }
 
+// Length returns how long an upstream is expected to take for one call with n
+// pieces, or for a full one where n does not fit.
+func (b BatchSpec) Length(n int) time.Duration {
+	return b.Call + time.Duration(min(n, b.Size))*b.Item
+}
+
 // PoolSpec describes a pool of upstreams of one service.
 type PoolSpec struct {
 	Name   string
--- a/core/version/mproute/stages.go
+++ b/core/version/mproute/stages.go
@@ -1,5 +1,7 @@
 package mproute
 
+import "slices"
+
 // Inputs returns the stages whose results stage i reads, where counts holds
 // the number of pieces of each stage of a request. An omitted stage passes on
 // what it would have read.
@@ -13,11 +15,7 @@
 			out = r.present(r.spec.Stages[s].After, counts, out)
 			continue
 		}
-		known := false
-		for _, have := range out {
-			known = known || have == s
-		}
-		if !known {
+		if !slices.Contains(out, s) {
 			out = append(out, s)
 		}
 	}
--- a/core/version/mproute/table.go
+++ b/core/version/mproute/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -174,9 +173,9 @@
 // Pool returns the pool called name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
-// Draw returns a pool of the route by weight.
-func (r *Route) Draw(rng *rand.Rand) string {
-	at := rng.Float64() * r.total
+// Draw returns a pool of the route by weight, where x is drawn evenly from [0, 1).
+func (r *Route) Draw(x float64) string {
+	at := x * r.total
 	last := ""
 	for _, s := range r.spec.Shares {
 		if s.Weight <= 0 {
