mprank, mpview, mpselect: Let one rendezvous order and one list of serving VMs serve all

Found by reading the change again. The choice of engines, of the VMs that may use a cold engine and of the owners of pools each had a rendezvous order of its own beside mpcatalogue.Rank; that one is now mprank and serves all. One fault: Selector.Peek chose by counting an attempt and taking it back, and left behind that a cold engine had got its request of the second, so that the request itself went elsewhere.

--- a/core/connection/mpcaller/mpcaller.go
+++ b/core/connection/mpcaller/mpcaller.go
@@ -132,14 +132,11 @@
 // addresses returns VMs that serve, those of dc first, each part in random
 // order so that callers spread.
 func (c *Caller) addresses(dc string) []string {
-	view := c.cfg.Membership.Current()
 	var near, far []string
-	for _, vm := range view.VMs() {
-		switch {
-		case !view.Serves(vm):
-		case vm.DC == dc:
+	for _, vm := range c.cfg.Membership.Current().Serving() {
+		if vm.DC == dc {
 			near = append(near, vm.Address)
-		default:
+		} else {
 			far = append(far, vm.Address)
 		}
 	}
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -294,10 +294,8 @@
 		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision())
 	}
 	var serving []string
-	for _, vm := range next.VMs() {
-		if vm.Address != "" && next.Serves(vm) {
-			serving = append(serving, vm.Name)
-		}
+	for _, vm := range next.Serving() {
+		serving = append(serving, vm.Name)
 	}
 	g.selector.SetPeers(serving)
 	g.refill(next, g.List())
@@ -345,12 +343,9 @@
 // Addresses returns where callers may connect, in no order. It is empty while
 // this VM has not joined the deployment.
 func (g *Gateway) Addresses() []string {
-	view := g.member.Current()
 	var out []string
-	for _, vm := range view.VMs() {
-		if vm.Address != "" && view.Serves(vm) {
-			out = append(out, vm.Address)
-		}
+	for _, vm := range g.member.Current().Serving() {
+		out = append(out, vm.Address)
 	}
 	return out
 }
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -4,15 +4,14 @@
 	"context"
 	"errors"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mprank"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/request/mpbatch"
@@ -61,30 +60,22 @@
 // of those that serve callers, silent ones last.
 func (r *Router) owners(now time.Time, pool string) []mpview.VM {
 	view := r.cfg.View()
-	var out []mpview.VM
-	for _, vm := range view.VMs() {
-		if vm.Address != "" && view.Serves(vm) {
-			out = append(out, vm)
-		}
+	var names []string
+	for _, vm := range view.Serving() {
+		names = append(names, vm.Name)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rank := func(vm mpview.VM) uint64 {
-		h := xxhash.Sum64String(pool + "\x00" + vm.Name)
-		if now.Before(r.silent[vm.Name]) {
-			h >>= 32
+	var out, silent []mpview.VM
+	for _, name := range mprank.OfName(pool, names) {
+		vm, _ := view.VM(name)
+		if now.Before(r.silent[name]) {
+			silent = append(silent, vm)
 		} else {
-			h |= 1 << 63
+			out = append(out, vm)
 		}
-		return h
 	}
-	slices.SortFunc(out, func(a, b mpview.VM) int {
-		if rank(a) > rank(b) {
-			return -1
-		}
-		return 1
-	})
-	return out
+	return append(out, silent...)
 }
 
 func (r *Router) noteSilent(now time.Time, vm string) {
--- a/core/request/mppermit/choose.go
+++ b/core/request/mppermit/choose.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/common/mprank"
 )
 
 // choose returns the upstream that a should go to now, or nil: a suspect one
@@ -24,7 +24,7 @@
 func (g *Group) chooseFrom(now time.Time, a Ask, suspect bool) *slot {
 	if a.Prefix != 0 {
 		bound := g.bound(now)
-		for _, name := range mpcatalogue.Rank(a.Prefix, g.names) {
+		for _, name := range mprank.Of(a.Prefix, g.names) {
 			s := g.slots[name]
 			if s.isOpen(now) && s.isSuspect(now) == suspect && !a.Avoid.Has(name) && float64(len(s.held)) < bound*float64(s.limit) {
 				return s
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -5,14 +5,12 @@
 package mpselect
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"mustardpost.org/core/common/mprank"
 	"mustardpost.org/core/version/mplist"
 )
 
@@ -65,8 +63,8 @@
 	until   time.Time
 	took    time.Duration
 	used    time.Time
-	// colds holds the times of the newest attempts while cold.
-	colds []time.Time
+	// cold is when the upstream last got an attempt while it was cold.
+	cold time.Time
 }
 
 // Config sets a Selector.
@@ -111,33 +109,16 @@
 func (s *Selector) Pick(now time.Time, candidates []Candidate, ask Ask) (mplist.Row, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	usable := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
-		return slices.Contains(ask.Avoid, c.Row.ID) || !s.bearsCold(now, c)
-	})
-	if len(usable) == 0 {
+	c, ok := s.choose(now, candidates, ask)
+	if !ok {
 		return mplist.Row{}, false
 	}
-	sound := slices.DeleteFunc(slices.Clone(usable), func(c Candidate) bool {
-		return now.Before(s.state(c.Row.ID).until)
-	})
-	if len(sound) == 0 {
-		// All failed lately: the one whose pause ends first is tried.
-		sound = []Candidate{slices.MinFunc(usable, func(a, b Candidate) int {
-			return s.state(a.Row.ID).until.Compare(s.state(b.Row.ID).until)
-		})}
-	}
-	var c Candidate
-	if ask.Affinity != 0 {
-		c = s.byAffinity(sound, ask)
-	} else {
-		c = s.byWait(sound, ask)
-	}
 	st := s.state(c.Row.ID)
 	st.flights++
 	st.work += ask.Work
 	st.used = now
 	if now.Before(c.ColdUntil) {
-		st.colds = append(st.colds, now)
+		st.cold = now
 	}
 	return c.Row, true
 }
@@ -145,12 +126,30 @@
 // Peek returns the data centre of the upstream that Pick would choose, without
 // counting an attempt.
 func (s *Selector) Peek(now time.Time, candidates []Candidate, ask Ask) string {
-	row, ok := s.Pick(now, candidates, ask)
-	if !ok {
-		return ""
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, _ := s.choose(now, candidates, ask)
+	return c.Row.DC
+}
+
+func (s *Selector) choose(now time.Time, candidates []Candidate, ask Ask) (Candidate, bool) {
+	usable := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return slices.Contains(ask.Avoid, c.Row.ID) || !s.bearsCold(now, c)
+	})
+	if len(usable) == 0 {
+		return Candidate{}, false
+	}
+	sound := slices.DeleteFunc(slices.Clone(usable), func(c Candidate) bool { return s.state(c.Row.ID).isSuspect(now) })
+	switch {
+	case len(sound) == 0:
+		// All failed lately: the one whose pause ends first is tried.
+		return slices.MinFunc(usable, func(a, b Candidate) int {
+			return s.state(a.Row.ID).until.Compare(s.state(b.Row.ID).until)
+		}), true
+	case ask.Affinity != 0:
+		return s.byAffinity(sound, ask), true
 	}
-	s.Done(now, row.ID, ask, Dropped, 0)
-	return row.DC
+	return s.byWait(sound, ask), true
 }
 
 // bearsCold reports whether a cold upstream may get one more request from this
@@ -160,26 +159,15 @@
 	if !now.Before(c.ColdUntil) || c.ColdRate <= 0 {
 		return true
 	}
-	st := s.state(c.Row.ID)
-	st.colds = slices.DeleteFunc(st.colds, func(t time.Time) bool { return now.Sub(t) >= coldWindow })
-	if len(st.colds) > 0 {
+	if now.Sub(s.state(c.Row.ID).cold) < coldWindow {
 		return false
 	}
-	own, before := rank(c.Row.ID, s.cfg.VM), 0
-	for _, vm := range s.peers {
-		if vm != s.cfg.VM && rank(c.Row.ID, vm) > own {
-			before++
-		}
+	peers := s.peers
+	if !slices.Contains(peers, s.cfg.VM) {
+		peers = append(slices.Clone(peers), s.cfg.VM)
 	}
-	return float64(before+1) <= c.ColdRate
-}
-
-func rank(a, b string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(a)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(b)
-	return d.Sum64()
+	place := 1 + slices.Index(mprank.OfName(c.Row.ID, peers), s.cfg.VM)
+	return float64(place) <= c.ColdRate
 }
 
 // byAffinity takes the first upstream in the rendezvous order of the shared
@@ -190,23 +178,19 @@
 		total += s.state(c.Row.ID).work
 	}
 	limit := boundTimes*total/float64(len(list)) + boundSlack
-	slices.SortFunc(list, func(a, b Candidate) int {
-		return cmp.Compare(mix(b.Row.ID, ask.Affinity), mix(a.Row.ID, ask.Affinity))
-	})
-	for _, c := range list {
-		if s.state(c.Row.ID).work <= limit {
-			return c
-		}
+	byID := map[string]Candidate{}
+	ids := make([]string, len(list))
+	for i, c := range list {
+		ids[i] = c.Row.ID
+		byID[c.Row.ID] = c
 	}
-	return list[0]
-}
-
-func mix(id string, affinity uint64) uint64 {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(affinity >> (8 * i))
+	order := mprank.Of(ask.Affinity, ids)
+	for _, id := range order {
+		if s.state(id).work <= limit {
+			return byID[id]
+		}
 	}
-	return rank(id, string(b[:]))
+	return byID[order[0]]
 }
 
 // byWait takes the upstream with the shortest expected time to an answer.
@@ -247,11 +231,7 @@
 }
 
 // isSuspect reports whether the upstream failed lately.
-func (s *Selector) isSuspect(now time.Time, id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Before(s.state(id).until)
-}
+func (st *state) isSuspect(now time.Time) bool { return now.Before(st.until) }
 
 func (s *Selector) state(id string) *state {
 	st, ok := s.known[id]
--- a/core/version/mpcatalogue/catalogue.go
+++ b/core/version/mpcatalogue/catalogue.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Catalogue is one immutable revision of what operators declared.
@@ -261,39 +259,3 @@
 
 // GroupName returns the name of a pool's group in a data centre.
 func GroupName(pool, dc string) string { return pool + "@" + dc }
-
-// Rank orders names by rendezvous hashing for key: each key has its own stable
-// order, of which little changes when a name comes or goes.
-func Rank(key uint64, names []string) []string {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	list := make([]scored, len(names))
-	for i, n := range names {
-		list[i] = scored{n, mix(key ^ xxhash.Sum64String(n))}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		}
-		return 0
-	})
-	out := make([]string, len(list))
-	for i, s := range list {
-		out[i] = s.name
-	}
-	return out
-}
-
-// mix is the finalizer of MurmurHash3 (Appleby), which spreads each input bit.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/core/version/mpview/plan.go
+++ b/core/version/mpview/plan.go
@@ -1,10 +1,6 @@
 package mpview
 
-import (
-	"github.com/cespare/xxhash/v2"
-
-	"mustardpost.org/core/version/mpcatalogue"
-)
+import "mustardpost.org/core/common/mprank"
 
 // Plan returns the assignments that v lacks: groups without an owner that is
 // up and staying, groups owned from another data centre although a VM of their
@@ -23,7 +19,7 @@
 		if len(names) == 0 {
 			names = all
 		}
-		owners[g] = mpcatalogue.Rank(xxhash.Sum64String(g), names)[0]
+		owners[g] = mprank.OfName(g, names)[0]
 	}
 	for g := range v.Owners() {
 		if len(v.Catalogue().Group(g)) == 0 {
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -124,6 +124,12 @@
 	return !vm.Leaving && !v.IsOut(TargetVM, vm.Name) && !v.IsOut(TargetDC, vm.DC)
 }
 
+// Serving returns the VMs that callers may be sent to, in the order of their
+// names. VMs that only vote have no address for callers.
+func (v *View) Serving() []VM {
+	return slices.DeleteFunc(v.VMs(), func(vm VM) bool { return vm.Address == "" || !v.Serves(vm) })
+}
+
 // Usable reports whether new attempts may go to upstream u.
 func (v *View) Usable(u mpcatalogue.Upstream) bool {
 	leaving := u.VM != "" && v.IsOut(TargetMachine, u.VM)
