mplist, mpgateway: Work out the usable upstreams when the list or the view changes

Found by reading the change again: each request walked the whole list and asked the view, under its lock and with a joined string, about each row, while the owner of batches was given the same selection worked out elsewhere. mplist.Usable is that selection, made once for each list and view, under one lock, so that a list that a VM reads itself cannot overwrite a newer view's. The config of a seat no longer repeats that of its voter; the leader compares lists in one place.

--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -251,8 +251,6 @@
 		Election: s.ElectionSpan(),
 		Lease:    s.LeaseSpan(),
 		Quorate:  len(s.Voters)/2 + 1,
-		Client:   d.client,
-		Logger:   d.cfg.Logger,
 	}
 	if s.Platform != "" {
 		cfg.Platform = mpplatform.New(s.Platform)
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -25,7 +25,6 @@
 	"mustardpost.org/core/process/mpseat"
 	"mustardpost.org/core/process/mpstage"
 	"mustardpost.org/core/process/mpvoter"
-	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mppass"
 	"mustardpost.org/core/request/mpselect"
@@ -104,8 +103,11 @@
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
+	// usable is the part of list that view leaves in service.
+	usable atomic.Pointer[mplist.Usable]
 
 	mu      sync.Mutex
+	view    *mpview.View
 	budgets map[string]*mpbudget.Budget
 	// leased is when this VM was last seen with a lease; readList alone uses it.
 	leased time.Time
@@ -122,6 +124,7 @@
 		selector: mpselect.New(mpselect.Config{VM: cfg.VM}),
 		seats:    &mpseat.Service{Votes: cfg.Votes},
 		budgets:  map[string]*mpbudget.Budget{},
+		view:     mpview.Empty(),
 	}
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, Source: cfg.Source, Metrics: g.metrics})
 	g.member = mpmember.New(mpmember.Config{
@@ -228,8 +231,6 @@
 			Lease:     g.cfg.Lease,
 			Quorate:   g.cfg.Quorate,
 			Upstreams: g.cfg.Upstreams,
-			Client:    g.client,
-			Logger:    g.cfg.Logger,
 		}, failed)
 		if err != nil {
 			return err
@@ -240,17 +241,12 @@
 	if g.cfg.Caller != "" {
 		go mptime.Every(ctx, orphanEvery, func(now time.Time) { g.readList(ctx, now) })
 	}
-	t := time.NewTicker(forgetEvery)
-	defer t.Stop()
-	for {
-		select {
-		case now := <-t.C:
-			g.selector.Forget(now, g.List())
-		case err := <-failed:
-			return err
-		case <-ctx.Done():
-			return nil
-		}
+	go mptime.Every(ctx, forgetEvery, func(now time.Time) { g.selector.Forget(now, g.List()) })
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
 	}
 }
 
@@ -298,25 +294,27 @@
 		serving = append(serving, vm.Name)
 	}
 	g.selector.SetPeers(serving)
-	g.refill(next, g.List())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view = next
+	g.refill()
 }
 
 func (g *Gateway) onList(_ time.Time, list *mplist.List) {
-	g.list.Store(list)
 	_ = level.Info(g.cfg.Logger).Log("msg", "list of upstreams adopted", "rows", len(list.Rows()), "hash", list.Hash())
-	g.refill(g.member.Current(), list)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.list.Store(list)
+	g.refill()
 }
 
-// refill tells the owner which upstreams may get calls.
-func (g *Gateway) refill(view *mpview.View, list *mplist.List) {
-	ups := map[string][]mpbatch.Upstream{}
-	for _, r := range list.Rows() {
-		if !r.Leaving && !view.IsOut(mpview.TargetDC, r.DC) {
-			ups[r.Pool] = append(ups[r.Pool], mpbatch.Upstream{ID: r.ID, Address: r.Address, DC: r.DC})
-		}
-	}
+// refill derives from the view and the list which upstreams may get new work.
+// g.mu is held.
+func (g *Gateway) refill() {
+	usable := g.List().Usable(func(dc string) bool { return g.view.IsOut(mpview.TargetDC, dc) })
+	g.usable.Store(usable)
 	if table := g.Table(); table != nil {
-		g.owner.Set(table, ups)
+		g.owner.Set(table, usable)
 	}
 }
 
@@ -326,10 +324,8 @@
 // List returns the newest list of upstreams, or nil.
 func (g *Gateway) List() *mplist.List { return g.list.Load() }
 
-// IsOut reports whether operators took the data centre out of service.
-func (g *Gateway) IsOut(dc string) bool {
-	return g.member.Current().IsOut(mpview.TargetDC, dc)
-}
+// Usable returns the upstreams that may get new work.
+func (g *Gateway) Usable() *mplist.Usable { return g.usable.Load() }
 
 // Passer returns what serves callers.
 func (g *Gateway) Passer() *mppass.Passer { return g.passer }
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -142,7 +142,7 @@
 		Changes:  changes,
 		View:     whole,
 	}
-	if l.list.Hash() != 0 && l.list.Hash() != r.GetListed() {
+	if lacksList(r, l.list) {
 		reply.Listed = l.list.Hash()
 		reply.Upstreams, err = l.list.Encode(time.Now())
 	}
@@ -179,13 +179,18 @@
 	l.tracker.Grant(time.Now(), vm, 0)
 }
 
+// lacksList reports whether the VM that renews has another list than the leader.
+func lacksList(r *mpwire.RenewRequest, list *mplist.List) bool {
+	return list.Hash() != 0 && list.Hash() != r.GetListed()
+}
+
 // hold waits until there is something that the VM lacks.
 func (l *Lead) hold(ctx context.Context, r *mpwire.RenewRequest) {
 	changed := l.cfg.Machine.Changed()
 	l.mu.Lock()
 	list, listed := l.list, l.listed
 	l.mu.Unlock()
-	if l.cfg.Machine.View().Revision() != r.GetRevision() || list.Hash() != 0 && list.Hash() != r.GetListed() {
+	if l.cfg.Machine.View().Revision() != r.GetRevision() || lacksList(r, list) {
 		return
 	}
 	t := time.NewTimer(l.cfg.Lease / holdPart)
--- a/core/process/mpseat/mpseat.go
+++ b/core/process/mpseat/mpseat.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/connection/mppeer"
@@ -38,8 +37,6 @@
 	Platform *mpplatform.Client
 	// Upstreams reads the platform's list of upstreams; nil where there is none.
 	Upstreams mplead.Lister
-	Client    *mppeer.Client
-	Logger    log.Logger
 }
 
 // Seat is this process's part in the replicated state.
@@ -72,7 +69,7 @@
 		return nil, err
 	}
 	if loaded.Cut > 0 {
-		level.Warn(cfg.Logger).Log("msg", "torn tail of the log cut", "bytes", loaded.Cut)
+		level.Warn(cfg.Voter.Logger).Log("msg", "torn tail of the log cut", "bytes", loaded.Cut)
 	}
 	s := &Seat{id: id, machine: mpstate.New(), store: store}
 	var lead atomic.Pointer[mplead.Lead]
@@ -82,8 +79,8 @@
 		Store:      store,
 		Loaded:     loaded,
 		Machine:    s.machine,
-		Sender:     mppeer.NewSender(ctx, cfg.Client, func(replies []mpquorum.Envelope) { s.replica.Deliver(replies) }),
-		Logger:     cfg.Logger,
+		Sender:     mppeer.NewSender(ctx, cfg.Voter.Client, func(replies []mpquorum.Envelope) { s.replica.Deliver(replies) }),
+		Logger:     cfg.Voter.Logger,
 		SnapshotAt: int64(cfg.Segment),
 		Quorum: mpquorum.Config{
 			Election:  cfg.Election,
@@ -103,7 +100,7 @@
 	s.lead = mplead.New(mplead.Config{
 		Replica:   s.replica,
 		Machine:   s.machine,
-		Logger:    cfg.Logger,
+		Logger:    cfg.Voter.Logger,
 		Lease:     cfg.Lease,
 		Quorate:   cfg.Quorate,
 		Platform:  cfg.Platform,
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -18,6 +18,7 @@
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
 
@@ -50,10 +51,10 @@
 	cfg OwnerConfig
 	ctx context.Context
 
-	mu    sync.Mutex
-	lines map[string]*line
-	table *mproute.Table
-	ups   map[string][]mpbatch.Upstream
+	mu     sync.Mutex
+	lines  map[string]*line
+	table  *mproute.Table
+	usable *mplist.Usable
 }
 
 // line is one pool's group with its lock.
@@ -73,11 +74,11 @@
 	return &Owner{cfg: cfg, ctx: ctx, lines: map[string]*line{}}
 }
 
-// Set replaces the plan and the upstreams that may get calls, by pool.
-func (o *Owner) Set(table *mproute.Table, ups map[string][]mpbatch.Upstream) {
+// Set replaces the plan and the upstreams that may get calls.
+func (o *Owner) Set(table *mproute.Table, usable *mplist.Usable) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table, o.ups = table, ups
+	o.table, o.usable = table, usable
 	for pool, l := range o.lines {
 		o.fill(l, pool)
 	}
@@ -90,7 +91,11 @@
 	if p != nil && p.Spec().Batch != nil {
 		l.group.SetSpec(*p.Spec().Batch)
 	}
-	l.group.SetUpstreams(o.ups[pool])
+	var ups []mpbatch.Upstream
+	for _, r := range o.usable.Rows(pool) {
+		ups = append(ups, mpbatch.Upstream{ID: r.ID, Address: r.Address, DC: r.DC})
+	}
+	l.group.SetUpstreams(ups)
 	l.wake()
 }
 
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -180,13 +180,10 @@
 
 // candidates returns the upstreams of the pool that may get new work.
 func (p *Passer) candidates(pool *mproute.Pool) []mpselect.Candidate {
-	list := p.cfg.State.List()
+	usable := p.cfg.State.Usable()
 	var out []mpselect.Candidate
-	for _, row := range list.Rows() {
-		if row.Pool != pool.Spec().Name || row.Leaving || p.cfg.State.IsOut(row.DC) {
-			continue
-		}
-		out = append(out, mpselect.Candidate{Row: row, ColdUntil: list.ColdUntil(row), ColdRate: pool.Spec().ColdRate})
+	for _, row := range usable.Rows(pool.Spec().Name) {
+		out = append(out, mpselect.Candidate{Row: row, ColdUntil: usable.ColdUntil(row), ColdRate: pool.Spec().ColdRate})
 	}
 	return out
 }
--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -113,8 +113,9 @@
 }
 
 func (f fixed) Table() *mproute.Table { return f.table }
-func (f fixed) List() *mplist.List    { return f.list }
-func (f fixed) IsOut(dc string) bool  { return dc == "out" }
+func (f fixed) Usable() *mplist.Usable {
+	return f.list.Usable(func(dc string) bool { return dc == "out" })
+}
 
 // maker makes every piece at once, or fails with the next error.
 type maker struct {
--- a/core/request/mppass/types.go
+++ b/core/request/mppass/types.go
@@ -78,7 +78,6 @@
 // State is what is in force at this VM.
 type State interface {
 	Table() *mproute.Table
-	List() *mplist.List
-	// IsOut reports whether operators took the data centre out of service.
-	IsOut(dc string) bool
+	// Usable returns the upstreams that may get new work.
+	Usable() *mplist.Usable
 }
--- a/core/version/mplist/mplist.go
+++ b/core/version/mplist/mplist.go
@@ -109,3 +109,33 @@
 	}
 	return &List{rows: rows, at: now, hash: hash}, nil
 }
+
+// Usable is the part of a list that may get new work, by pool.
+type Usable struct {
+	list  *List
+	pools map[string][]Row
+}
+
+// Usable leaves out the upstreams that are leaving and those of data centres
+// that operators took out of service.
+func (l *List) Usable(isOut func(dc string) bool) *Usable {
+	u := &Usable{list: l, pools: map[string][]Row{}}
+	for _, r := range l.Rows() {
+		if !r.Leaving && !isOut(r.DC) {
+			u.pools[r.Pool] = append(u.pools[r.Pool], r)
+		}
+	}
+	return u
+}
+
+// Rows returns the upstreams of a pool. The caller must not change them.
+func (u *Usable) Rows(pool string) []Row {
+	if u == nil {
+		return nil
+	}
+	return u.pools[pool]
+}
+
+// ColdUntil returns when the upstream of row stops being cold; the zero time
+// when it is warm.
+func (u *Usable) ColdUntil(row Row) time.Time { return u.list.ColdUntil(row) }
--- a/core/version/mplist/mplist_test.go
+++ b/core/version/mplist/mplist_test.go
@@ -49,9 +49,26 @@
 			t.Error("the end of the cold time does not change the hash")
 		}
 	})
+	t.Run("what leaves or is out of service gets no new work", func(t *testing.T) {
+		list := New(at, append(rows(), Row{ID: "u3", Pool: "p", DC: "a"}, Row{ID: "u4", Pool: "p", DC: "c"}))
+		got := list.Usable(func(dc string) bool { return dc == "c" })
+		for pool, want := range map[string][]string{"p": {"u3"}, "q": {"u2"}, "none": nil} {
+			var ids []string
+			for _, r := range got.Rows(pool) {
+				ids = append(ids, r.ID)
+			}
+			if diff := cmp.Diff(want, ids); diff != "" {
+				t.Errorf("usable in %s (-want +got):\n%s", pool, diff)
+			}
+		}
+		if until := got.ColdUntil(got.Rows("q")[0]); !until.Equal(at.Add(3 * time.Second)) {
+			t.Errorf("cold until %v", until)
+		}
+	})
 	t.Run("a VM without a list has no rows", func(t *testing.T) {
 		var none *List
-		if none.Hash() != 0 || none.Rows() != nil {
+		var unusable *Usable
+		if none.Hash() != 0 || none.Rows() != nil || unusable.Rows("p") != nil {
 			t.Error("nil list is not empty")
 		}
 	})
