--- /dev/null
+++ b/core/common/mpsignal/mpsignal.go
@@ -0,0 +1,26 @@
+// Package mpsignal turns the signals that end a process into contexts.
+package mpsignal
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Leave returns a context that ends with the process's work, and one within it
+// that ends when the process is told to leave: at the first SIGTERM or SIGINT.
+// The second signal, or stop, ends both.
+func Leave() (ctx, leave context.Context, stop context.CancelFunc) {
+	ctx, stop = context.WithCancel(context.Background())
+	leave, startLeaving := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		startLeaving()
+		<-signals
+		stop()
+	}()
+	return ctx, leave, stop
+}
--- a/core/common/mptime/mptime.go
+++ b/core/common/mptime/mptime.go
@@ -1,8 +1,10 @@
-// Package mptime has the two ways in which background work waits.
+// Package mptime has the two ways in which background work waits, and the form of
+// durations in messages.
 package mptime
 
 import (
 	"context"
+	"math"
 	"time"
 )
 
@@ -32,3 +34,11 @@
 		}
 	}
 }
+
+// Millis returns d in ms as messages carry it, within their bounds.
+func Millis(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
+// FromMillis returns the duration that a message carries in ms.
+func FromMillis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -89,20 +89,26 @@
 }
 
 func newHTTP(fresh bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialWithin}
+	t := newTransport(&net.Dialer{Timeout: dialWithin}, idleConns, idleFor)
+	t.DisableKeepAlives = fresh
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			MaxIdleConnsPerHost:    idleConns,
-			IdleConnTimeout:        idleFor,
-			DisableKeepAlives:      fresh,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: headerLimit,
-		},
+		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// newTransport returns a transport that keeps that many idle connections to an
+// upstream for so long, asks for no compression and uses no proxy.
+func newTransport(d *net.Dialer, kept int, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:            d.DialContext,
+		MaxIdleConnsPerHost:    kept,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: headerLimit,
+	}
+}
+
 // Close ends idle connections.
 func (c *Client) Close() {
 	c.shared.CloseIdleConnections()
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -20,11 +20,11 @@
 	tcpUserTimeout = 18
 )
 
-// NewDialer returns a dialer from source whose connections notice a silent
+// newDialer returns a dialer from source whose connections notice a silent
 // partition.
-func NewDialer(source net.IP, within time.Duration) *net.Dialer {
+func newDialer(source net.IP) *net.Dialer {
 	d := &net.Dialer{
-		Timeout:         within,
+		Timeout:         dialWithin,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepEvery, Count: keepCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var err error
@@ -42,14 +42,8 @@
 	return d
 }
 
-// NewTransport returns a transport for passing requests on unchanged: it asks
-// for no compression and uses no proxy.
+// NewTransport returns a transport for passing requests on unchanged, whose
+// connections come from source.
 func NewTransport(source net.IP) *http.Transport {
-	return &http.Transport{
-		DialContext:            NewDialer(source, dialWithin).DialContext,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    transportKept,
-		IdleConnTimeout:        transportIdle,
-		MaxResponseHeaderBytes: headerLimit,
-	}
+	return newTransport(newDialer(source), transportKept, transportIdle)
 }
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -164,6 +164,7 @@
 func (o *Owner) Free(pool string, handles []string, spare bool) {
 	l, err := o.line(pool)
 	if err != nil {
+		_ = level.Warn(o.cfg.Logger).Log("msg", "results not freed", "pool", pool, "results", len(handles), "err", err)
 		return
 	}
 	l.mu.Lock()
@@ -238,7 +239,7 @@
 	l.o.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	l.o.cfg.Metrics.Took("batch", now.Sub(begun))
 	_ = level.Info(l.o.cfg.Logger).Log("msg", "batch", "pool", l.pool, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
-		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending)
+		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending, "err", out.Err)
 	l.mu.Lock()
 	l.group.Finish(now, c.ID, out)
 	l.mu.Unlock()
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mprank"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/request/mpbatch"
@@ -127,23 +127,15 @@
 
 // watch probes the owner while it holds an ask, and cancels when it is silent.
 func (r *Router) watch(ctx context.Context, peer mpwire.PeerClient, cancel context.CancelCauseFunc) {
-	t := time.NewTicker(probeEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	mptime.Every(ctx, probeEvery, func(time.Time) {
 		probe, stop := context.WithTimeout(ctx, probeWithin)
+		defer stop()
+		// Any answer will do, so the call's own error says nothing.
 		_, _ = peer.Probe(probe, &mpwire.ProbeRequest{})
-		silent := errors.Is(probe.Err(), context.DeadlineExceeded)
-		stop()
-		if silent {
+		if errors.Is(probe.Err(), context.DeadlineExceeded) {
 			cancel(errSilent)
-			return
 		}
-	}
+	})
 }
 
 // Free tells the owner of pool that results are not needed any more.
@@ -166,15 +158,12 @@
 			_, err = peer.Free(ctx, &mpwire.FreeRequest{Pool: pool, Handles: handles, Spare: spare})
 		}
 		if err != nil {
+			_ = level.Warn(r.cfg.Logger).Log("msg", "results freed here", "pool", pool, "owner", owners[0].Name, "err", err)
 			r.cfg.Local.Free(pool, handles, spare)
 		}
 	}()
 }
 
-func left(now, at time.Time) uint32 {
-	return uint32(min(max(at.Sub(now).Milliseconds(), 0), math.MaxInt32))
-}
-
 func encode(now time.Time, pool string, a mpbatch.Ask) *mpwire.MakeRequest {
 	return &mpwire.MakeRequest{
 		Pool:     pool,
@@ -185,8 +174,8 @@
 		Inputs:   a.Inputs,
 		Bytes:    uint32(a.Bytes),
 		Priority: int32(a.Priority),
-		LeftMs:   left(now, a.Deadline),
-		AimMs:    left(now, a.Aim),
+		LeftMs:   mptime.Millis(a.Deadline.Sub(now)),
+		AimMs:    mptime.Millis(a.Aim.Sub(now)),
 		Dc:       a.DC,
 		Far:      uint32(a.Far),
 		Reads:    a.Reads,
@@ -204,8 +193,8 @@
 		Inputs:   r.GetInputs(),
 		Bytes:    int(r.GetBytes()),
 		Priority: int(r.GetPriority()),
-		Aim:      now.Add(time.Duration(r.GetAimMs()) * time.Millisecond),
-		Deadline: now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond),
+		Aim:      now.Add(mptime.FromMillis(r.GetAimMs())),
+		Deadline: now.Add(mptime.FromMillis(r.GetLeftMs())),
 		DC:       r.GetDc(),
 		Far:      int(r.GetFar()),
 		Reads:    r.GetReads(),
@@ -221,7 +210,7 @@
 		reply.Cause = mpwire.MakeReply_LATE
 		var late *mpbatch.LateError
 		if errors.As(err, &late) {
-			reply.RetryMs = uint32(min(max(late.Wait.Milliseconds(), 0), math.MaxInt32))
+			reply.RetryMs = mptime.Millis(late.Wait)
 		}
 	case errors.Is(err, mperror.ErrEmpty):
 		reply.Cause = mpwire.MakeReply_FULL
@@ -245,7 +234,7 @@
 		}
 		return made, nil
 	case mpwire.MakeReply_LATE:
-		wait := time.Duration(r.GetRetryMs()) * time.Millisecond
+		wait := mptime.FromMillis(r.GetRetryMs())
 		return nil, mperror.Wrap(&mpbatch.LateError{Wait: wait}, "owner")
 	case mpwire.MakeReply_FULL:
 		return nil, mperror.Wrap(mperror.ErrEmpty, "owner")
--- a/core/request/mpattempt/wire.go
+++ b/core/request/mpattempt/wire.go
@@ -1,20 +1,13 @@
 package mpattempt
 
 import (
-	"time"
-
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpset"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/request/mppermit"
 )
 
-func ms(d time.Duration) uint32 {
-	return uint32(max(d.Milliseconds(), 0))
-}
-
-func fromMS(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // EncodeAsk returns the wire form of an ask.
 func EncodeAsk(group string, epoch uint64, a mppermit.Ask) *mpwire.AcquireRequest {
 	return &mpwire.AcquireRequest{
@@ -25,8 +18,8 @@
 		Account:    a.Account,
 		Weight:     uint32(max(a.Weight, 1)),
 		Priority:   int32(a.Priority),
-		LeftMs:     ms(a.Left),
-		PatienceMs: ms(a.Patience),
+		LeftMs:     mptime.Millis(a.Left),
+		PatienceMs: mptime.Millis(a.Patience),
 		Prefix:     a.Prefix,
 		Alone:      a.Alone,
 		Hedge:      a.Hedge,
@@ -43,8 +36,8 @@
 		Account:  r.GetAccount(),
 		Weight:   int(r.GetWeight()),
 		Priority: int(r.GetPriority()),
-		Left:     fromMS(r.GetLeftMs()),
-		Patience: fromMS(r.GetPatienceMs()),
+		Left:     mptime.FromMillis(r.GetLeftMs()),
+		Patience: mptime.FromMillis(r.GetPatienceMs()),
 		Prefix:   r.GetPrefix(),
 		Alone:    r.GetAlone(),
 		Hedge:    r.GetHedge(),
@@ -58,10 +51,10 @@
 	switch d := d.(type) {
 	case mppermit.Grant:
 		return &mpwire.AcquireReply{
-			Upstream: d.Upstream, HedgeMs: ms(d.Hedge), Limit: uint32(d.Limit), Instance: d.Instance,
+			Upstream: d.Upstream, HedgeMs: mptime.Millis(d.Hedge), Limit: uint32(d.Limit), Instance: d.Instance,
 		}
 	case mppermit.Refuse:
-		return &mpwire.AcquireReply{Cause: wireCause(d.Cause), RetryMs: ms(d.Retry)}
+		return &mpwire.AcquireReply{Cause: wireCause(d.Cause), RetryMs: mptime.Millis(d.Retry)}
 	}
 	return &mpwire.AcquireReply{Cause: mpwire.AcquireReply_NOT_OWNER}
 }
@@ -81,14 +74,14 @@
 
 func decodeReply(a mppermit.Attempt, r *mpwire.AcquireReply) (mppermit.Decision, error) {
 	refuse := func(c mppermit.Cause) mppermit.Decision {
-		return mppermit.Refuse{Attempt: a, Cause: c, Retry: fromMS(r.GetRetryMs())}
+		return mppermit.Refuse{Attempt: a, Cause: c, Retry: mptime.FromMillis(r.GetRetryMs())}
 	}
 	switch r.GetCause() {
 	case mpwire.AcquireReply_GRANTED:
 		return mppermit.Grant{
 			Attempt:  a,
 			Upstream: r.GetUpstream(),
-			Hedge:    fromMS(r.GetHedgeMs()),
+			Hedge:    mptime.FromMillis(r.GetHedgeMs()),
 			Limit:    int(r.GetLimit()),
 			Instance: r.GetInstance(),
 		}, nil
@@ -112,7 +105,7 @@
 			Group:    s.group,
 			Attempt:  uint64(s.end.Attempt),
 			End:      mpwire.Settlement_End(s.end.End),
-			TookMs:   ms(s.end.Took),
+			TookMs:   mptime.Millis(s.end.Took),
 			Instance: s.end.Instance,
 			Cold:     s.end.Cold,
 		})
@@ -125,7 +118,7 @@
 	return mppermit.Settlement{
 		Attempt:  mppermit.Attempt(s.GetAttempt()),
 		End:      mppermit.End(s.GetEnd()),
-		Took:     fromMS(s.GetTookMs()),
+		Took:     mptime.FromMillis(s.GetTookMs()),
 		Instance: s.GetInstance(),
 		Cold:     s.GetCold(),
 	}
@@ -139,7 +132,7 @@
 				Group:    group,
 				Attempt:  uint64(h.Attempt),
 				Upstream: h.Upstream,
-				LeftMs:   ms(h.Left),
+				LeftMs:   mptime.Millis(h.Left),
 				Alone:    h.Alone,
 			})
 		}
@@ -149,7 +142,7 @@
 				Upstream: s.Upstream,
 				Limit:    uint32(s.Limit),
 				Instance: s.Instance,
-				AgeMs:    ms(s.Age),
+				AgeMs:    mptime.Millis(s.Age),
 			})
 		}
 	}
@@ -164,7 +157,7 @@
 		k.Held = append(k.Held, mppermit.Held{
 			Attempt:  mppermit.Attempt(h.GetAttempt()),
 			Upstream: h.GetUpstream(),
-			Left:     fromMS(h.GetLeftMs()),
+			Left:     mptime.FromMillis(h.GetLeftMs()),
 			Alone:    h.GetAlone(),
 		})
 		known[h.GetGroup()] = k
@@ -175,7 +168,7 @@
 			Upstream: s.GetUpstream(),
 			Limit:    int(s.GetLimit()),
 			Instance: s.GetInstance(),
-			Age:      fromMS(s.GetAgeMs()),
+			Age:      mptime.FromMillis(s.GetAgeMs()),
 		})
 		known[s.GetGroup()] = k
 	}
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -103,6 +103,8 @@
 type Outcome struct {
 	Ending Ending
 	Made   []Made
+	// Err is why the call was broken, for the log.
+	Err error
 }
 
 // LateError is the refusal of a job that would be late. It wraps ErrLate.
--- a/mustardpostd/commands/serve.go
+++ b/mustardpostd/commands/serve.go
@@ -1,13 +1,11 @@
 package commands
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v2"
 
+	"mustardpost.org/core/common/mpsignal"
 	"mustardpost.org/core/process/mpdaemon"
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpsettings"
@@ -29,18 +27,8 @@
 }
 
 func run(s mpsettings.Settings) error {
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, leave, stop := mpsignal.Leave()
 	defer stop()
-	leave, startLeaving := context.WithCancel(ctx)
-	defer startLeaving()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		startLeaving()
-		<-signals
-		stop()
-	}()
 	logger := mplog.New(os.Stderr, s.Log, "vm", s.VM, "dc", s.DC)
 	return mpdaemon.New(ctx, mpdaemon.Config{Settings: s, Logger: logger}).Run(ctx, leave)
 }
