mppass: Bound the number of pieces that a caller may name

Found by reading the change again: the number in a caller's header became the size of a list at the entry and at the owner, so one request could end both. Such a request is refused like one whose stages do not fit; the test failed before.

--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -414,6 +414,14 @@
 			}
 		}
 	})
+	t.Run("a number of pieces without measure takes no memory", func(t *testing.T) {
+		r, q := newRig(t), staged()
+		q.Pieces = []int{1 << 40, 1}
+		checkAnswer(t, answer{Status: 503}, r.serve(t.Context(), q))
+		if len(r.maker.asks) > 0 {
+			t.Errorf("the owner was asked for %d pieces", r.maker.asks[0].Count)
+		}
+	})
 	t.Run("pieces for another number of stages are refused", func(t *testing.T) {
 		q := staged()
 		q.Pieces = []int{1}
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 // allows, since upstreams have room for a few of them only.
 const largeResult = 1 << 20
 
+// mostPieces bounds the pieces of one stage, which take memory here and at the
+// owner: far more than a request needs, far less than a caller can write.
+const mostPieces = 4096
+
 // stageRun is the stages of one request while they are made.
 type stageRun struct {
 	f      *flow
@@ -34,6 +39,9 @@
 	if len(f.r.Pieces) != len(spec.Stages) {
 		return mperror.Wrap(mperror.ErrInvalid, "%d stages, pieces of %d", len(spec.Stages), len(f.r.Pieces))
 	}
+	if most := slices.Max(f.r.Pieces); most > mostPieces {
+		return mperror.Wrap(mperror.ErrInvalid, "%d pieces of a stage, %d at most", most, mostPieces)
+	}
 	begun := f.p.cfg.Clock()
 	s := &stageRun{
 		f:       f,
