mphttp: Open the listener before the engine, and order it with the pollers

The race: the engine's listener hands a connection to a poller through epoll alone, so the addresses that it wrote are read without an order that Go's memory model knows. The hang: the test took a free port, closed it and asked for it again; when another process had it by then, the engine's Start waited in its own Stop for pollers that had missed the signal. A daemon whose port is taken would have hung the same way, silently.

Ruled out: a fault of the handler (the stacks name only the engine), load (one hung process used a whole core by itself until its timeout).

Change: the listener is opened before the engine starts, and Start returns its error. An atomic counter, written when a connection opens and read when data come, orders the two goroutines. Tests ask for port 0.

--- a/core/connection/mpcaller/mpcaller_test.go
+++ b/core/connection/mpcaller/mpcaller_test.go
@@ -87,18 +87,13 @@
 			VM: "vm1", DC: "north", Permits: s, Membership: s, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 		}),
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.address = l.Addr().String()
-	_ = l.Close()
-	h := mphttp.New(mphttp.Config{Name: "caller", Address: s.address, Handler: s.caller.Handler(), MaxBody: maxBody, Refusal: Refusal(), Logger: log.NewNopLogger()})
+	h := mphttp.New(mphttp.Config{Name: "caller", Address: "127.0.0.1:0", Handler: s.caller.Handler(), MaxBody: maxBody, Refusal: Refusal(), Logger: log.NewNopLogger()})
 	mphttp.UseLogger(log.NewNopLogger())
 	if err := h.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(h.Stop)
+	s.address = h.Address()
 	return s
 }
 
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -62,11 +63,16 @@
 type Server struct {
 	cfg     Config
 	engine  *nbhttp.Engine
-	shards  [shardCount]requests
-	quit    chan struct{}
-	next    atomic.Uint64
-	running atomic.Int64
-	leaving atomic.Bool
+	address string
+	// listener goes to the engine when that starts.
+	listener net.Listener
+	shards   [shardCount]requests
+	quit     chan struct{}
+	next     atomic.Uint64
+	running  atomic.Int64
+	leaving  atomic.Bool
+	// opened makes what the listener wrote visible to the pollers.
+	opened atomic.Int64
 }
 
 // New returns a server that is not started yet.
@@ -79,6 +85,7 @@
 		Name:                    cfg.Name,
 		Network:                 "tcp",
 		Addrs:                   []string{cfg.Address},
+		Listen:                  func(string, string) (net.Listener, error) { return s.listener, nil },
 		Handler:                 http.HandlerFunc(s.serve),
 		MaxHTTPBodySize:         cfg.MaxBody,
 		ReadLimit:               cfg.MaxBody + readExtra,
@@ -87,12 +94,21 @@
 		ReleaseWebsocketPayload: true,
 		ServerExecutor:          func(f func()) { go f() },
 	})
+	// The engine hands a connection from its listener to a poller through the
+	// kernel alone. That orders the two, but not in Go's memory model.
+	s.engine.Engine.OnOpen(func(*nbio.Conn) { s.opened.Add(1) })
 	s.engine.OnData(s.receive)
 	return s
 }
 
-// Start listens at the configured address.
+// Start listens at the configured address. The engine gets a listener that is
+// open: one that fails to listen waits for its pollers, some of which never end.
 func (s *Server) Start() error {
+	l, err := net.Listen("tcp", s.cfg.Address)
+	if err != nil {
+		return mperror.Wrap(err, "%s address %s", s.cfg.Name, s.cfg.Address)
+	}
+	s.listener, s.address = l, l.Addr().String()
 	if err := s.engine.Start(); err != nil {
 		return mperror.Wrap(err, "%s address %s", s.cfg.Name, s.cfg.Address)
 	}
@@ -100,6 +116,9 @@
 	return nil
 }
 
+// Address returns host and port of a server that has started.
+func (s *Server) Address() string { return s.address }
+
 // Leave makes all further answers ask the caller to close the connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
@@ -127,6 +146,7 @@
 // receive parses what came over a connection. A request that cannot be parsed
 // is told why before its connection is closed; what else it sends is dropped.
 func (s *Server) receive(c *nbio.Conn, data []byte) {
+	s.opened.Load()
 	parser, ok := c.Session().(nbhttp.ParserCloser)
 	if !ok {
 		return
