mpquorum: Answer a refused pre-vote with the member's own term

The power goes right after a change was acknowledged, so often only three of five voters hold it. A voter that lacks it cannot win, but the refusals of its pre-votes carried the term that it had asked for, and it adopted that term without an election. Voters that asked in that term next were refused by it, adopted it in turn, and lost their own attempt: the terms crept up by one member at a time.

Ruled out: split votes alone (five voters with equal logs: 1.0 s in 99 of 100 simulated elections), the restart itself (all voters ran after 0.45 s), dials to machines without power (0.5 s at most).

Change: a refusal carries the member's own term. A member that asks itself makes way for a lower id, so that voters that start together split less.

TestElectionAfterPowerLoss fails before (5.2 s for 99 in 100 with unequal logs, 1.2 s with equal ones, against 1 s).

--- a/core/process/mpquorum/elect.go
+++ b/core/process/mpquorum/elect.go
@@ -175,8 +175,15 @@
 	current := ask.Term > n.log.lastTerm() ||
 		(ask.Term == n.log.lastTerm() && ask.Index >= n.log.last())
 	if ask.Pre {
-		granted := current && e.Term > n.hard.Term
-		n.send(e.From, Envelope{Term: e.Term, Vote: &VoteReply{Pre: true, Granted: granted}})
+		if !current || e.Term == n.hard.Term {
+			// The reply carries this member's term: the one asked for has not begun.
+			n.send(e.From, Envelope{Vote: &VoteReply{Pre: true}})
+			return
+		}
+		if n.role == preCandidate && e.From < n.cfg.Self {
+			n.makeWay(now)
+		}
+		n.send(e.From, Envelope{Term: e.Term, Vote: &VoteReply{Pre: true, Granted: true}})
 		return
 	}
 	if e.Term > n.hard.Term {
@@ -190,6 +197,13 @@
 	n.send(e.From, Envelope{Vote: &VoteReply{Granted: granted}})
 }
 
+// makeWay ends this member's own pre-vote in favour of a member with a lower id,
+// so that voters that start together do not split their votes.
+func (n *Node) makeWay(now time.Time) {
+	n.role = follower
+	n.deadline = now.Add(n.cfg.Election/earlyPart + n.spread(n.cfg.Election/earlyPart))
+}
+
 func (n *Node) receivePreVote(now time.Time, e Envelope) {
 	if !e.Vote.Granted {
 		if e.Term > n.hard.Term {
