--- a/core/process/mpquorum/node.go
+++ b/core/process/mpquorum/node.go
@@ -137,6 +137,23 @@
 	return n.out, err
 }
 
+// String returns the role's name in logs.
+func (r role) String() string {
+	switch r {
+	case preCandidate:
+		return "precandidate"
+	case candidate:
+		return "candidate"
+	case leader:
+		return "leader"
+	default:
+		return "follower"
+	}
+}
+
+// Role names what this member is in its term, for logs.
+func (n *Node) Role() string { return n.role.String() }
+
 // Term returns the current term.
 func (n *Node) Term() uint64 { return n.hard.Term }
 
--- a/core/process/mpseat/service.go
+++ b/core/process/mpseat/service.go
@@ -74,7 +74,7 @@
 	seat := mpquorum.Seat{Member: mpquorum.Member(r.GetMember()), VM: r.GetVm(), Address: r.GetAddress()}
 	done, err := v.replica.Enroll(seat)
 	if err != nil {
-		return &mpwire.EnrollReply{Leader: v.replica.Leader().Address}, nil
+		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	return &mpwire.EnrollReply{Done: done}, nil
 }
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -151,14 +151,15 @@
 		}
 		done, err := replica.Enroll(seat)
 		if err != nil {
-			done = enrollAt(ctx, cfg, target, req)
+			done, err = enrollAt(ctx, cfg, target, req)
 		}
-		if done != votes {
+		// Only the leader knows; what others answer changes nothing.
+		if err == nil && done != votes {
 			votes = done
 			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember(), "votes", votes)
 		}
 		wait := enrollEvery
-		if votes {
+		if votes && err == nil {
 			wait = confirmEvery
 		}
 		t.Reset(wait)
@@ -170,16 +171,17 @@
 	}
 }
 
-func enrollAt(ctx context.Context, cfg Config, address string, req *mpwire.EnrollRequest) bool {
+// enrollAt asks the voter at address. It returns an error unless that leads.
+func enrollAt(ctx context.Context, cfg Config, address string, req *mpwire.EnrollRequest) (bool, error) {
 	if address == cfg.Address {
-		return false
+		return false, mperror.ErrNotLeader
 	}
 	peer, err := cfg.Client.To(address)
 	if err != nil {
-		return false
+		return false, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, enrollWithin)
 	defer cancel()
 	reply, err := peer.Enroll(ctx, req)
-	return err == nil && reply.GetDone()
+	return reply.GetDone(), err
 }
