mpstage: Log why pieces of a call were not made

The log of a call told its length and its end, not that single pieces were missing. The line now lists the reason of each missing piece.

--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -239,13 +239,28 @@
 	l.o.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	l.o.cfg.Metrics.Took("batch", now.Sub(begun))
 	_ = level.Info(l.o.cfg.Logger).Log("msg", "batch", "pool", l.pool, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
-		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending, "err", out.Err)
+		"expected", c.Expected, "took", now.Sub(begun), "ending", out.Ending, "missing", missing(out.Made), "err", out.Err)
 	l.mu.Lock()
 	l.group.Finish(now, c.ID, out)
 	l.mu.Unlock()
 	l.wake()
 }
 
+// missing lists the reasons for which items of a call were not made.
+func missing(items []mpbatch.Made) string {
+	var b strings.Builder
+	for _, m := range items {
+		if m.Handle != "" {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(string(m.Reason))
+	}
+	return b.String()
+}
+
 // free tells the makers of results that nobody needs them.
 func (l *line) free() {
 	l.freeing.Store(false)
