mpbatch: Leave some memory free where inputs are read, and count the rest aright

The owner filled upstreams to the last byte by the plan's sizes, which are approximate. One refused piece then made the upstream count as full: its whole memory less what the owner knew of at the end of the call, by when results had been freed, for up to 0.7 s, and a pause of 50 ms.

Ruled out: results of another owner (no VM had left), results that were freed but not dropped (the owner counts them until it is told).

Change: pieces that read inputs leave 5 % of the memory free; large results of the first stage, which are made from a key, do not, since one in twelve would be lost. What another owner's results take is worked out from what was known when the call began. The pause is gone.

--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -118,6 +118,7 @@
 	calls := make([]Call, 0, len(open))
 	for _, f := range open {
 		s := g.servers[f.call.Upstream.ID]
+		f.used = s.used
 		f.call.Expected = g.length(s, len(f.call.Items))
 		f.call.Most = giveUpTimes*f.call.Expected + giveUpSlack
 		calls = append(calls, f.call)
@@ -147,13 +148,20 @@
 		delete(g.servers, s.up.ID)
 		g.order = slices.DeleteFunc(g.order, func(o *server) bool { return o == s })
 	}
+	missed := 0
 	for i, j := range f.jobs {
 		m := Made{Reason: ReasonError}
 		if out.Ending == Answered && i < len(out.Made) {
 			m = out.Made[i]
 		}
+		if m.Reason == ReasonRoom {
+			missed += j.ask.Bytes
+		}
 		g.settle(now, s, j, f.call.Items[i].Number, m, out.Ending)
 	}
+	if missed > 0 {
+		s.noRoom(now, f, missed, g.cfg.Spec.Room)
+	}
 }
 
 func (g *Group) settle(now time.Time, s *server, j *Job, n int, m Made, e Ending) {
@@ -182,7 +190,7 @@
 	case m.Reason == ReasonGone:
 		g.end(j, mperror.Wrap(mperror.ErrNotFound, "stage %d: an input is gone", j.ask.Stage))
 	case m.Reason == ReasonRoom:
-		s.noRoom(now, g.cfg.Spec.Room)
+		// The upstream's memory is counted anew; the piece goes elsewhere or waits.
 	case e != Refused:
 		if j.tries++; j.tries > mostTries*len(j.pieces) {
 			g.end(j, mperror.Wrap(mperror.ErrCrashed, "stage %d: failed %d times", j.ask.Stage, j.tries))
@@ -214,7 +222,7 @@
 		for _, s := range g.order {
 			sooner(s.until)
 			if now.Before(s.foreignUntil) {
-				sooner(now.Add(avoidRoom))
+				sooner(now.Add(lookEvery))
 			}
 		}
 		for _, k := range g.results {
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -87,8 +87,11 @@
 // hasRoom reports whether s can keep one more result of j. A result larger
 // than the whole memory is tried at an empty upstream.
 func (g *Group) hasRoom(now time.Time, s *server, j *Job) bool {
-	taken := s.taken(now)
-	return g.cfg.Spec.Room == 0 || taken == 0 || taken+j.ask.Bytes <= g.cfg.Spec.Room
+	taken, room := s.taken(now), float64(g.cfg.Spec.Room)
+	if len(j.ask.Inputs) > 0 {
+		room *= roomShare
+	}
+	return room == 0 || taken == 0 || float64(taken+j.ask.Bytes) <= room
 }
 
 func (g *Group) isBetter(a, b *server, j *Job) bool {
--- a/core/request/mpbatch/server.go
+++ b/core/request/mpbatch/server.go
@@ -15,9 +15,15 @@
 	avoidMost  = 4 * time.Second
 	// avoidFull is about one round trip between data centres.
 	avoidFull = 20 * time.Millisecond
-	avoidRoom = 50 * time.Millisecond
+	// lookEvery is how often the memory that other owners' results take is looked
+	// at again while it shrinks.
+	lookEvery = 50 * time.Millisecond
 	// foreignFor is about how long a result lives until its reader has it.
 	foreignFor = 700 * time.Millisecond
+	// roomShare is how much of an upstream's memory pieces with inputs may fill: the
+	// sizes of results are approximate, and the inputs of a piece that finds no room
+	// may be gone when it is tried again.
+	roomShare = 0.95
 
 	// paceWeight is the weight of the newest call in an upstream's pace.
 	paceWeight = 0.3
@@ -46,6 +52,9 @@
 	call    Call
 	jobs    []*Job
 	started time.Time
+	// used is the memory that the upstream's results took when the call began,
+	// with those of the call itself.
+	used int
 	// overdue tells that the pieces were given to other upstreams as well.
 	overdue bool
 }
@@ -72,11 +81,11 @@
 	s.pace += paceWeight * (x - s.pace)
 }
 
-// noRoom notes that the upstream had no memory although this owner's results
-// leave some: a former owner's results take it.
-func (s *server) noRoom(now time.Time, room int) {
-	s.until = now.Add(avoidRoom)
-	s.foreign = max(room-s.used, 0)
+// noRoom notes that pieces of f, whose results would have taken missed bytes,
+// found no memory. What this owner's results left when the call began is taken by
+// those of a former owner.
+func (s *server) noRoom(now time.Time, f *flight, missed, room int) {
+	s.foreign = max(room-(f.used-missed), 0)
 	s.foreignUntil = now.Add(foreignFor)
 }
 
