mpbatch, mpstage: Keep inputs until all their readers are done

Cause: inputs were given up 70 ms after the calls that read them had begun, while over half of their maker's memory was taken.

Change: inputs are freed when the stage that read them is done; the code for giving them up early, and two fields of the messages between VMs, are gone. A job that could not fit into the memory but for the 5 % left free may fill it: TestFailedPieceFindsItsInputs found it waiting for its own results.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -139,8 +139,7 @@
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, Directory: g.member, Voters: cfg.Seeds})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
-		FreeInputs: func(pool string, handles []string) { g.router.FreeIfShort(pool, handles) },
-		Caller:     cfg.Pieces, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
+		Caller: cfg.Pieces, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
 		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Logger: cfg.Logger, Clock: time.Now,
@@ -196,7 +195,7 @@
 
 // Free gives up results.
 func (p peer) Free(_ context.Context, r *mpwire.FreeRequest) (*mpwire.FreeReply, error) {
-	p.g.owner.Free(r.GetPool(), r.GetHandles(), r.GetSpare())
+	p.g.owner.Free(r.GetPool(), r.GetHandles())
 	return &mpwire.FreeReply{}, nil
 }
 
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -38,12 +38,10 @@
 
 // OwnerConfig holds what an Owner needs from outside.
 type OwnerConfig struct {
-	Caller Caller
-	// FreeInputs gives up results that the pieces of a stage have read.
-	FreeInputs func(pool string, handles []string)
-	Metrics    *mpmetric.Set
-	Logger     log.Logger
-	Clock      func() time.Time
+	Caller  Caller
+	Metrics *mpmetric.Set
+	Logger  log.Logger
+	Clock   func() time.Time
 }
 
 // Owner batches the pieces of the pools that this VM owns.
@@ -159,20 +157,15 @@
 	return b.String()
 }
 
-// Free gives up results that this owner or another one made. With spare they
-// are given up only when memory is short.
-func (o *Owner) Free(pool string, handles []string, spare bool) {
+// Free gives up results that this owner or another one made.
+func (o *Owner) Free(pool string, handles []string) {
 	l, err := o.line(pool)
 	if err != nil {
 		_ = level.Warn(o.cfg.Logger).Log("msg", "results not freed", "pool", pool, "results", len(handles), "err", err)
 		return
 	}
 	l.mu.Lock()
-	if spare {
-		l.group.FreeIfShort(handles)
-	} else {
-		l.group.Free(handles)
-	}
+	l.group.Free(handles)
 	l.mu.Unlock()
 	l.wake()
 }
@@ -212,11 +205,7 @@
 		l.mu.Lock()
 		calls := l.group.Next(now)
 		at := l.group.Wake(now)
-		read := l.group.TakeRead(now)
 		l.mu.Unlock()
-		for _, ask := range read {
-			l.o.cfg.FreeInputs(ask.Reads, ask.Inputs)
-		}
 		for _, c := range calls {
 			go l.call(c)
 		}
--- /dev/null
+++ b/core/process/mpstage/owner_test.go
@@ -0,0 +1,125 @@
+package mpstage
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mproute"
+)
+
+// maker plays upstreams that keep results until they are told to drop them.
+type maker struct {
+	mu sync.Mutex
+	// failing is the number of pieces that are not made yet, for no reason of their own.
+	failing int
+	dropped map[string]bool
+	made    int
+}
+
+var _ Caller = (*maker)(nil)
+
+func (m *maker) Run(_ context.Context, _ time.Time, c mpbatch.Call) mpbatch.Outcome {
+	time.Sleep(c.Expected)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out mpbatch.Outcome
+	for _, it := range c.Items {
+		out.Made = append(out.Made, m.makeOne(it))
+	}
+	return out
+}
+
+func (m *maker) makeOne(it mpbatch.Item) mpbatch.Made {
+	for _, in := range it.Inputs {
+		if m.dropped[in] {
+			return mpbatch.Made{Reason: mpbatch.ReasonGone}
+		}
+	}
+	if len(it.Inputs) > 0 && m.failing > 0 {
+		m.failing--
+		return mpbatch.Made{Reason: mpbatch.ReasonError}
+	}
+	m.made++
+	return mpbatch.Made{Handle: fmt.Sprintf("%s-%d-%d", it.Request, it.Stage, m.made)}
+}
+
+func (m *maker) Free(_ context.Context, handles []string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range handles {
+		m.dropped[h] = true
+	}
+	return nil
+}
+
+// twoStages is an owner of two pools, of one upstream each; the results of the
+// first pool fill its memory.
+func twoStages(ctx context.Context, t *testing.T, m *maker) *Owner {
+	t.Helper()
+	batch := &mproute.BatchSpec{Size: 8, Call: 150 * time.Millisecond, Item: 16 * time.Millisecond, Room: 500_000, Keep: 4 * time.Second}
+	table, err := mproute.New(mproute.Spec{
+		Version: 1,
+		Pools:   []mproute.PoolSpec{{Name: "first", Conns: 9, Batch: batch}, {Name: "second", Conns: 9, Batch: batch}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := mplist.New(time.Now(), []mplist.Row{
+		{ID: "u1", Pool: "first", Address: "127.0.0.1:1", DC: "a"},
+		{ID: "u2", Pool: "second", Address: "127.0.0.1:2", DC: "a"},
+	})
+	o := NewOwner(ctx, OwnerConfig{Caller: m, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now})
+	o.Set(table, list.Usable(func(string) bool { return false }))
+	return o
+}
+
+func ask(now time.Time, stage int, inputs []string) mpbatch.Ask {
+	return mpbatch.Ask{
+		Request: "r", Stage: stage, Count: 8, Key: "k", Inputs: inputs, Bytes: 60_000,
+		Aim: now.Add(2 * time.Second), Deadline: now.Add(4 * time.Second),
+	}
+}
+
+// A calm day: one piece in 500 is not made at first. Its inputs had been given up
+// by then, 70 ms after their readers had begun, and the request made all its
+// stages again.
+func TestFailedPieceFindsItsInputs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := &maker{failing: 1, dropped: map[string]bool{}}
+		o := twoStages(ctx, t, m)
+		first, err := o.Make(ctx, "first", ask(time.Now(), 0, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var inputs []string
+		for _, r := range first {
+			inputs = append(inputs, r.Handle)
+		}
+		second, err := o.Make(ctx, "second", ask(time.Now(), 1, inputs))
+		if err != nil {
+			t.Fatalf("second stage: %v", err)
+		}
+		if diff := cmp.Diff(8, len(second)); diff != "" {
+			t.Errorf("results (-want +got):\n%s", diff)
+		}
+		o.Free("first", inputs)
+		time.Sleep(time.Second)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if diff := cmp.Diff(8, len(m.dropped)); diff != "" {
+			t.Errorf("results that were dropped (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -139,15 +139,10 @@
 }
 
 // Free tells the owner of pool that results are not needed any more.
-func (r *Router) Free(pool string, handles []string) { r.free(pool, handles, false) }
-
-// FreeIfShort tells the owner of pool that results were fetched.
-func (r *Router) FreeIfShort(pool string, handles []string) { r.free(pool, handles, true) }
-
-func (r *Router) free(pool string, handles []string, spare bool) {
+func (r *Router) Free(pool string, handles []string) {
 	owners := r.owners(r.cfg.Clock(), pool)
 	if len(owners) == 0 || owners[0].Name == r.cfg.VM {
-		r.cfg.Local.Free(pool, handles, spare)
+		r.cfg.Local.Free(pool, handles)
 		return
 	}
 	go func() {
@@ -155,11 +150,11 @@
 		defer cancel()
 		peer, err := r.cfg.Client.To(owners[0].Peer)
 		if err == nil {
-			_, err = peer.Free(ctx, &mpwire.FreeRequest{Pool: pool, Handles: handles, Spare: spare})
+			_, err = peer.Free(ctx, &mpwire.FreeRequest{Pool: pool, Handles: handles})
 		}
 		if err != nil {
 			_ = level.Warn(r.cfg.Logger).Log("msg", "results freed here", "pool", pool, "owner", owners[0].Name, "err", err)
-			r.cfg.Local.Free(pool, handles, spare)
+			r.cfg.Local.Free(pool, handles)
 		}
 	}()
 }
@@ -178,7 +173,6 @@
 		AimMs:    mptime.Millis(a.Aim.Sub(now)),
 		Dc:       a.DC,
 		Far:      uint32(a.Far),
-		Reads:    a.Reads,
 	}
 }
 
@@ -197,7 +191,6 @@
 		Deadline: now.Add(mptime.FromMillis(r.GetLeftMs())),
 		DC:       r.GetDc(),
 		Far:      int(r.GetFar()),
-		Reads:    r.GetReads(),
 	})
 	reply := &mpwire.MakeReply{}
 	for _, m := range made {
--- a/core/request/mpbatch/group.go
+++ b/core/request/mpbatch/group.go
@@ -33,11 +33,9 @@
 	flights map[uint64]*flight
 	results map[string]kept
 	freed   []string
-	// spare results are given up when their maker is short of memory.
-	spare []string
-	next  uint64
-	jobs  uint64
-	again float64
+	next    uint64
+	jobs    uint64
+	again   float64
 	// checked is when hopeless jobs were last looked for.
 	checked time.Time
 	// promised counts the pieces that wait for each busy upstream in this round.
@@ -213,9 +211,6 @@
 		}
 	}
 	for _, j := range g.queue {
-		if j.ask.Reads != "" && !j.freed {
-			sooner(j.full.Add(fetchWithin))
-		}
 		sooner(j.ask.Deadline)
 	}
 	if len(g.queue) > 0 {
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -85,10 +85,11 @@
 }
 
 // hasRoom reports whether s can keep one more result of j. A result larger
-// than the whole memory is tried at an empty upstream.
+// than the whole memory is tried at an empty upstream, and a job that would not
+// fit otherwise may fill all memory.
 func (g *Group) hasRoom(now time.Time, s *server, j *Job) bool {
 	taken, room := s.taken(now), float64(g.cfg.Spec.Room)
-	if len(j.ask.Inputs) > 0 {
+	if len(j.ask.Inputs) > 0 && float64(j.ask.Bytes*len(j.pieces)) <= roomShare*room*float64(len(g.order)) {
 		room *= roomShare
 	}
 	return room == 0 || taken == 0 || float64(taken+j.ask.Bytes) <= room
--- a/core/request/mpbatch/results.go
+++ b/core/request/mpbatch/results.go
@@ -1,19 +1,5 @@
 package mpbatch
 
-import (
-	"slices"
-	"time"
-)
-
-const (
-	// shortShare of an upstream's memory is taken when it is short of it: the
-	// rest has room for about one more call.
-	shortShare = 0.5
-	// fetchWithin is the time in which an idle upstream has fetched the inputs of
-	// a call: a round trip between data centres and the transfer, several times.
-	fetchWithin = 70 * time.Millisecond
-)
-
 // Free notes results that are not needed any more. They take up memory until
 // their makers have been told.
 func (g *Group) Free(handles []string) { g.freed = append(g.freed, handles...) }
@@ -29,10 +15,6 @@
 	}
 }
 
-// FreeIfShort notes results that their readers have fetched but may need again
-// if a call fails. They are given up only while their maker is short of memory.
-func (g *Group) FreeIfShort(handles []string) { g.spare = append(g.spare, handles...) }
-
 // Freed takes in that the makers of results have dropped them.
 func (g *Group) Freed(handles []string) {
 	for _, h := range handles {
@@ -56,38 +38,7 @@
 func (g *Group) TakeFreed() []string {
 	out := g.freed
 	g.freed = nil
-	for i, h := range g.spare {
-		k, ok := g.results[h]
-		switch {
-		case !ok:
-			g.spare[i] = ""
-		case g.isShort(k.server) && !slices.Contains(out, h):
-			out = append(out, h)
-			g.spare[i] = ""
-		}
-	}
-	g.spare = slices.DeleteFunc(g.spare, func(h string) bool { return h == "" })
-	return out
-}
-
-// TakeRead returns the jobs whose pieces have all had time to fetch their
-// inputs, and that free them. Each job is returned once.
-func (g *Group) TakeRead(now time.Time) []Ask {
-	var out []Ask
-	for _, j := range g.queue {
-		if j.ask.Reads == "" || j.freed || now.Sub(j.full) < fetchWithin || slices.ContainsFunc(j.pieces, isWaiting) {
-			continue
-		}
-		j.freed = true
-		out = append(out, j.ask)
-	}
 	return out
 }
 
 func isWaiting(p piece) bool { return p.state == waiting }
-
-// isShort reports whether the results at an upstream leave little memory.
-func (g *Group) isShort(id string) bool {
-	s, ok := g.servers[id]
-	return ok && float64(s.used) > shortShare*float64(g.cfg.Spec.Room)
-}
--- a/core/request/mpbatch/server.go
+++ b/core/request/mpbatch/server.go
@@ -21,8 +21,8 @@
 	// foreignFor is about how long a result lives until its reader has it.
 	foreignFor = 700 * time.Millisecond
 	// roomShare is how much of an upstream's memory pieces with inputs may fill: the
-	// sizes of results are approximate, and the inputs of a piece that finds no room
-	// may be gone when it is tried again.
+	// sizes of results are approximate, and all results of earlier stages wait for a
+	// piece that finds no room.
 	roomShare = 0.95
 
 	// paceWeight is the weight of the newest call in an upstream's pace.
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -35,9 +35,6 @@
 	// piece causes when it is made elsewhere.
 	DC  string
 	Far int
-	// Reads names the pool that made the inputs when nothing else reads them, so
-	// that they can be given up once the pieces have them; otherwise it is empty.
-	Reads string
 }
 
 // Upstream is one that makes pieces.
@@ -139,10 +136,8 @@
 	// near is the data centre of the first piece; the others follow it, since
 	// their results are read together.
 	near string
-	// freed tells that the inputs have been given up.
-	freed bool
-	done  chan struct{}
-	err   error
+	done chan struct{}
+	err  error
 }
 
 type state uint8
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -200,9 +200,6 @@
 func (s *stageRun) readFrom(ask *mpbatch.Ask, inputs []int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(inputs) == 1 && s.readers[inputs[0]] == 1 {
-		ask.Reads = s.pool(inputs[0])
-	}
 	total, most := 0, 0
 	bytes := map[string]int{}
 	best := ""
