mppass, mpstage: Log the longest pause of a stream, and the stage that refused

And a refusal by another VM's owner always named stage 0.

Change: the line of a request has the longest pause between its events; a refusal that comes from another VM keeps its stage.

--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -122,7 +122,7 @@
 		}
 		return nil, mperror.Wrap(mperror.ErrUnknown, "%v", err)
 	}
-	return decode(reply)
+	return decode(reply, ask.Stage)
 }
 
 // watch probes the owner while it holds an ask, and cancels when it is silent.
@@ -215,7 +215,7 @@
 	return reply
 }
 
-func decode(r *mpwire.MakeReply) ([]mpbatch.Result, error) {
+func decode(r *mpwire.MakeReply, stage int) ([]mpbatch.Result, error) {
 	switch r.GetCause() {
 	case mpwire.MakeReply_MADE:
 		if len(r.GetDcs()) != len(r.GetHandles()) {
@@ -228,7 +228,7 @@
 		return made, nil
 	case mpwire.MakeReply_LATE:
 		wait := mptime.FromMillis(r.GetRetryMs())
-		return nil, mperror.Wrap(&mpbatch.LateError{Wait: wait}, "owner")
+		return nil, mperror.Wrap(&mpbatch.LateError{Stage: stage, Wait: wait}, "owner")
 	case mpwire.MakeReply_FULL:
 		return nil, mperror.Wrap(mperror.ErrEmpty, "owner")
 	case mpwire.MakeReply_GONE:
--- a/core/request/mppass/attempt.go
+++ b/core/request/mppass/attempt.go
@@ -287,6 +287,11 @@
 	if len(out) == 0 {
 		return
 	}
+	now := f.p.cfg.Clock()
+	if !f.passed.IsZero() {
+		f.pause = max(f.pause, now.Sub(f.passed))
+	}
+	f.passed = now
 	if _, err := f.w.Write(out); err == nil {
 		_ = flusher.Flush()
 	}
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -97,7 +97,10 @@
 	// the head of its answer and to the first event.
 	headTook  time.Duration
 	firstTook time.Duration
-	inputs    []input
+	// passed is when events were last passed on, pause the longest time between.
+	passed time.Time
+	pause  time.Duration
+	inputs []input
 	// started tells that the head of the answer was written.
 	started   bool
 	lastEvent string
@@ -283,6 +286,7 @@
 	f.p.cfg.Metrics.Add("sends", int64(f.sends))
 	_ = level.Info(f.p.cfg.Logger).Log("msg", "request", "id", f.r.ID, "route", route, "status", f.status,
 		"reason", f.reason, "upstream", f.upstream, "sends", f.sends, "stages", f.stagesTook, "head", f.headTook, "first", f.firstTook,
+		"pause", f.pause,
 		"took", f.p.cfg.Clock().Sub(f.start), "plan", f.table.Version())
 }
 
