mppass: Tell refused callers to come back when the overload may have passed

Cause: in bursts, requests that a stage cannot serve in time were told to come back when the work ahead of them would be done, after 0.8 to 1.0 s. The bursts last about six seconds, so by then other work had arrived: they were refused again, or took their turn from callers that had not been refused yet.

Ruled out: refusals without need (at their time the queue of the second stage was 0.8 to 1.6 s long, and the aim is 2 s from the request on).

Change: the pause is as long as callers have been refused so far, as the overload may well last as long again; at least as before, 5 s at most.

--- a/core/request/mppass/forecast.go
+++ b/core/request/mppass/forecast.go
@@ -16,6 +16,8 @@
 	// sharedPart of the tokens that requests share are read again on average.
 	sharedPart = 0.4
 	mostWait   = 2 * time.Second
+	// crowdedGap without a refusal ends a time of overload.
+	crowdedGap = 2 * time.Second
 )
 
 // forecast remembers how long pools took lately, so that a request knows early
@@ -24,6 +26,10 @@
 	mu    sync.Mutex
 	waits map[string]time.Duration
 	paces map[string]time.Duration
+	// since is when callers began to be refused for want of time, and last when one
+	// was.
+	since time.Time
+	last  time.Time
 }
 
 func newForecast() *forecast {
@@ -72,6 +78,20 @@
 	return firstBase + time.Duration(unread(prompt))*pace
 }
 
+// pause notes that a caller is refused for want of time, and returns when it should
+// come back. The work that is ahead of it now takes wait, but new work arrives in
+// its place while the overload lasts: as long again as it has lasted, for all that
+// is known.
+func (c *forecast) pause(now time.Time, wait time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.last) > crowdedGap {
+		c.since = now
+	}
+	c.last = now
+	return min(max(refusePause, wait, now.Sub(c.since)), mostPause)
+}
+
 // unread estimates the number of tokens that an engine has to read.
 func unread(prompt []Part) int {
 	n := 0.0
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -222,8 +222,7 @@
 	pause := refusePause
 	var late *mpbatch.LateError
 	if errors.As(err, &late) {
-		// By then the work that is ahead now is done.
-		pause = min(max(pause, late.Wait), mostPause)
+		pause = f.p.forecast.pause(f.p.cfg.Clock(), late.Wait)
 	}
 	f.refuse(http.StatusServiceUnavailable, pause, "stages: "+err.Error())
 }
