mpstage: Free results at each maker by itself

Cause: read while looking for what else counts memory as taken: the results to be dropped in one round went to their makers one after the other, and when one did not answer, all of them, also those that had been dropped, counted as kept until four seconds had passed.

Change: each maker is told by a call of its own, and only what it was not told counts as kept. TestDarkMakerDoesNotHoldUpTheOthers fails before: the next request waited until its deadline of 4 s.

--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -32,8 +32,10 @@
 type Caller interface {
 	// Run makes the pieces of one call.
 	Run(ctx context.Context, now time.Time, call mpbatch.Call) mpbatch.Outcome
-	// Free tells the makers of results that nobody needs them.
-	Free(ctx context.Context, handles []string) error
+	// Maker returns the address of the upstream that made a result.
+	Maker(handle string) string
+	// Free tells the upstream at an address that nobody needs results of its.
+	Free(ctx context.Context, maker string, handles []string) error
 }
 
 // OwnerConfig holds what an Owner needs from outside.
@@ -256,13 +258,23 @@
 	l.mu.Lock()
 	handles := l.group.TakeFreed()
 	l.mu.Unlock()
-	if len(handles) == 0 {
-		return
+	byMaker := map[string][]string{}
+	for _, h := range handles {
+		maker := l.o.cfg.Caller.Maker(h)
+		byMaker[maker] = append(byMaker[maker], h)
+	}
+	for maker, list := range byMaker {
+		go l.freeAt(maker, list)
 	}
+}
+
+// freeAt tells one maker. What it was not told takes up its memory until it
+// drops the results by itself; the other makers are not concerned.
+func (l *line) freeAt(maker string, handles []string) {
 	ctx, cancel := context.WithTimeout(l.o.ctx, freeWithin)
 	defer cancel()
-	if err := l.o.cfg.Caller.Free(ctx, handles); err != nil {
-		_ = level.Warn(l.o.cfg.Logger).Log("msg", "results not freed", "pool", l.pool, "results", len(handles), "err", err)
+	if err := l.o.cfg.Caller.Free(ctx, maker, handles); err != nil {
+		_ = level.Warn(l.o.cfg.Logger).Log("msg", "results not freed", "pool", l.pool, "maker", maker, "results", len(handles), "err", err)
 		return
 	}
 	l.mu.Lock()
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,8 @@
 	failing int
 	dropped map[string]bool
 	made    int
+	// dark names an upstream that takes calls but does not answer when told to drop results.
+	dark string
 }
 
 var _ Caller = (*maker)(nil)
@@ -34,12 +37,12 @@
 	defer m.mu.Unlock()
 	var out mpbatch.Outcome
 	for _, it := range c.Items {
-		out.Made = append(out.Made, m.makeOne(it))
+		out.Made = append(out.Made, m.makeOne(c.Upstream.ID, it))
 	}
 	return out
 }
 
-func (m *maker) makeOne(it mpbatch.Item) mpbatch.Made {
+func (m *maker) makeOne(at string, it mpbatch.Item) mpbatch.Made {
 	for _, in := range it.Inputs {
 		if m.dropped[in] {
 			return mpbatch.Made{Reason: mpbatch.ReasonGone}
@@ -50,10 +53,16 @@
 		return mpbatch.Made{Reason: mpbatch.ReasonError}
 	}
 	m.made++
-	return mpbatch.Made{Handle: fmt.Sprintf("%s-%d-%d", it.Request, it.Stage, m.made)}
+	return mpbatch.Made{Handle: fmt.Sprintf("%s@%s-%d-%d", at, it.Request, it.Stage, m.made)}
 }
 
-func (m *maker) Free(_ context.Context, handles []string) error {
+func (m *maker) Maker(handle string) string { return strings.SplitN(handle, "@", 2)[0] }
+
+func (m *maker) Free(ctx context.Context, at string, handles []string) error {
+	if at == m.dark {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range handles {
@@ -62,8 +71,8 @@
 	return nil
 }
 
-// twoStages is an owner of two pools, of one upstream each; the results of the
-// first pool fill its memory.
+// twoStages is an owner of two pools; the results of one request nearly fill the
+// memory of an upstream.
 func twoStages(ctx context.Context, t *testing.T, m *maker) *Owner {
 	t.Helper()
 	batch := &mproute.BatchSpec{Size: 8, Call: 150 * time.Millisecond, Item: 16 * time.Millisecond, Room: 500_000, Keep: 4 * time.Second}
@@ -75,6 +84,7 @@
 		t.Fatal(err)
 	}
 	list := mplist.New(time.Now(), []mplist.Row{
+		{ID: "u0", Pool: "first", Address: "127.0.0.1:3", DC: "a"},
 		{ID: "u1", Pool: "first", Address: "127.0.0.1:1", DC: "a"},
 		{ID: "u2", Pool: "second", Address: "127.0.0.1:2", DC: "a"},
 	})
@@ -123,3 +133,33 @@
 		}
 	})
 }
+
+// Upstreams go dark in most days with trouble. The results of all others that were
+// to be dropped in the same round counted as kept for four seconds too.
+func TestDarkMakerDoesNotHoldUpTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := &maker{dark: "u0", dropped: map[string]bool{}}
+		o := twoStages(ctx, t, m)
+		// Two requests fill both upstreams.
+		var handles []string
+		for range 2 {
+			made, err := o.Make(ctx, "first", ask(time.Now(), 0, nil))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range made {
+				handles = append(handles, r.Handle)
+			}
+		}
+		o.Free("first", handles)
+		begun := time.Now()
+		if _, err := o.Make(ctx, "first", ask(begun, 0, nil)); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took > time.Second {
+			t.Errorf("the next request took %v, though one upstream has dropped its results", took)
+		}
+	})
+}
