mplog, mppass: Sum refusals under overload, and log attempts that failed

Cause: each refused request wrote a line at its VM and one at the owner of the stage, so that the volume grew with the overload. And only the last attempt of a request was logged: why an earlier one had failed, and which upstreams were avoided since, could not be told.

New lines: an attempt that did not answer, an upstream that is avoided from now on, and one that is taken back.

--- a/core/process/mplog/story.go
+++ b/core/process/mplog/story.go
@@ -13,8 +13,12 @@
 	"mustardpost.org/core/common/mperror"
 )
 
-// maxLine bounds a line of a log, in bytes.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds a line of a log, in bytes.
+	maxLine = 1 << 20
+	// msgSum is the message of a line about several requests.
+	msgSum = "requests not served"
+)
 
 // Field is one key with its value.
 type Field struct {
@@ -56,7 +60,7 @@
 	for _, r := range logs {
 		if err := readLines(r, func(l Line) {
 			switch {
-			case l.Get("id") == id:
+			case l.Get("id") == id, l.Msg == msgSum && slices.Contains(strings.Split(l.Get("ids"), ","), id):
 				s.Lines = append(s.Lines, l)
 			case l.Msg == "batch":
 				calls = append(calls, l)
@@ -144,7 +148,9 @@
 }
 
 func (s *Story) findGaps(drops []Line) {
-	ended := slices.IndexFunc(s.Lines, func(l Line) bool { return l.Msg == "request" })
+	ended := slices.IndexFunc(s.Lines, func(l Line) bool {
+		return l.Msg == "request" || l.Msg == msgSum && !strings.HasPrefix(l.Get("cause"), "stage refused")
+	})
 	if ended < 0 {
 		s.Gaps = append(s.Gaps, "no line for the end of the request: its VM ended before it, or its log is not among the files")
 	} else if took, err := time.ParseDuration(s.Lines[ended].Get("stages")); err == nil && took > 0 &&
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/version/mplist"
@@ -50,6 +51,8 @@
 type Owner struct {
 	cfg OwnerConfig
 	ctx context.Context
+	// sums bounds the lines about refused stages.
+	sums *mplog.Sums
 
 	mu     sync.Mutex
 	lines  map[string]*line
@@ -71,7 +74,7 @@
 
 // NewOwner returns an owner whose work ends with ctx.
 func NewOwner(ctx context.Context, cfg OwnerConfig) *Owner {
-	return &Owner{cfg: cfg, ctx: ctx, lines: map[string]*line{}}
+	return &Owner{cfg: cfg, ctx: ctx, sums: mplog.NewSums(cfg.Logger), lines: map[string]*line{}}
 }
 
 // Set replaces the plan and the upstreams that may get calls.
@@ -127,6 +130,9 @@
 	j, err := l.group.Add(begun, ask)
 	l.mu.Unlock()
 	if err != nil {
+		if !o.sums.Full("stage refused by the owner of "+pool, ask.Request) {
+			return nil, err
+		}
 		_ = level.Info(o.cfg.Logger).Log("msg", "stage refused", "id", ask.Request, "pool", pool, "stage", ask.Stage, "err", err)
 		return nil, err
 	}
--- a/core/request/mppass/attempt.go
+++ b/core/request/mppass/attempt.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -46,6 +48,22 @@
 	lacking
 )
 
+// String returns the verdict's name in logs.
+func (v verdict) String() string {
+	switch v {
+	case answered:
+		return "answered"
+	case refused:
+		return "refused"
+	case broken:
+		return "broken"
+	case lacking:
+		return "lacking"
+	default:
+		return "unknown"
+	}
+}
+
 // attempts sends the request until it is answered or given up. It reports
 // whether the results of its stages must be made again.
 func (f *flow) attempts(ctx context.Context) (remake bool) {
@@ -101,10 +119,27 @@
 	defer watch.Stop()
 	v, ending, why := f.exchange(ctx, row, left, watch, last)
 	now := f.p.cfg.Clock()
-	f.p.cfg.Selector.Done(now, row.ID, f.ask, ending, now.Sub(f.sent))
+	change := f.p.cfg.Selector.Done(now, row.ID, f.ask, ending, now.Sub(f.sent))
+	f.logAttempt(row, v, change, why, now.Sub(f.sent))
 	return v, why
 }
 
+// logAttempt writes a line for an attempt that did not answer the request, and for
+// what it changed in the choice of upstreams. Its request has a line of its own.
+func (f *flow) logAttempt(row mplist.Row, v verdict, change mpselect.Change, why string, took time.Duration) {
+	if v != answered && f.p.sums.Full("attempt "+v.String()+" at "+row.Pool, f.r.ID) {
+		_ = level.Info(f.p.cfg.Logger).Log("msg", "attempt", "id", f.r.ID, "pool", row.Pool, "upstream", row.ID, "dc", row.DC,
+			"send", f.sends, "ended", v, "why", why, "took", took, "left", f.deadline.Sub(f.p.cfg.Clock()))
+	}
+	switch change {
+	case mpselect.Avoided:
+		_ = level.Warn(f.p.cfg.Logger).Log("msg", "upstream avoided", "pool", row.Pool, "upstream", row.ID, "dc", row.DC, "why", why)
+	case mpselect.Restored:
+		_ = level.Info(f.p.cfg.Logger).Log("msg", "upstream taken back", "pool", row.Pool, "upstream", row.ID, "dc", row.DC)
+	case mpselect.Unchanged:
+	}
+}
+
 // watch ends an attempt that stays silent while another one is still allowed.
 // Where none is, an upstream's silence is no reason to end it.
 func (f *flow) watch(cancel func(), left time.Duration, last bool) *time.Timer {
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
@@ -65,10 +66,14 @@
 type Passer struct {
 	cfg      Config
 	forecast *forecast
+	// sums bounds the lines about refused requests.
+	sums *mplog.Sums
 }
 
 // New returns a passer.
-func New(cfg Config) *Passer { return &Passer{cfg: cfg, forecast: newForecast()} }
+func New(cfg Config) *Passer {
+	return &Passer{cfg: cfg, forecast: newForecast(), sums: mplog.NewSums(cfg.Logger)}
+}
 
 // flow is one request on its way.
 type flow struct {
@@ -107,6 +112,8 @@
 	// status of the answer, for the log.
 	status int
 	reason string
+	// cause is why the system itself refused the request; else empty.
+	cause string
 }
 
 // input is the results of one stage.
@@ -133,12 +140,12 @@
 func (f *flow) admit() bool {
 	f.table = f.p.cfg.State.Table()
 	if f.table == nil {
-		f.refuse(http.StatusServiceUnavailable, refusePause, "no plan yet")
+		f.refuse(http.StatusServiceUnavailable, refusePause, "no plan yet", "")
 		return false
 	}
 	f.route = f.table.Find(f.r.Host, f.r.Path)
 	if f.route == nil {
-		f.refuse(http.StatusNotFound, 0, "no route")
+		f.refuse(http.StatusNotFound, 0, "no route", "")
 		return false
 	}
 	spec := f.route.Spec()
@@ -146,7 +153,7 @@
 	if f.table.HasAccounts() && !spec.Public {
 		account := f.table.Account(f.r.Key)
 		if account == nil {
-			f.refuse(http.StatusUnauthorized, 0, "unknown key")
+			f.refuse(http.StatusUnauthorized, 0, "unknown key", "")
 			return false
 		}
 		f.account, f.priority = account.Name(), account.Priority(f.route)
@@ -224,7 +231,11 @@
 	if errors.As(err, &late) {
 		pause = f.p.forecast.pause(f.p.cfg.Clock(), late.Wait)
 	}
-	f.refuse(http.StatusServiceUnavailable, pause, "stages: "+err.Error())
+	cause := "stages not made"
+	if late != nil {
+		cause = "stages late"
+	}
+	f.refuse(http.StatusServiceUnavailable, pause, cause, err.Error())
 }
 
 // giveUp gives the final answer to a request that no upstream answered.
@@ -235,11 +246,11 @@
 	case isGone(ctx):
 		f.abort("caller gone")
 	case !f.mayHaveRun:
-		f.refuse(http.StatusServiceUnavailable, refusePause, reason)
+		f.refuse(http.StatusServiceUnavailable, refusePause, "not run", reason)
 	case ctx.Err() != nil:
-		f.refuse(http.StatusGatewayTimeout, 0, reason)
+		f.refuse(http.StatusGatewayTimeout, 0, "no answer in time", reason)
 	default:
-		f.refuse(http.StatusBadGateway, 0, reason)
+		f.refuse(http.StatusBadGateway, 0, "no answer", reason)
 	}
 }
 
@@ -256,10 +267,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// refuse answers for the system itself. The reason is logged only: it may name
-// addresses that are no business of callers.
-func (f *flow) refuse(status int, retry time.Duration, reason string) {
-	f.status, f.reason = status, reason
+// refuse answers for the system itself. The cause is one of a few; the detail is
+// logged only: it may name addresses that are no business of callers.
+func (f *flow) refuse(status int, retry time.Duration, cause, detail string) {
+	f.status, f.cause, f.reason = status, cause, cause
+	if detail != "" {
+		f.reason += ": " + detail
+	}
 	h := f.w.Header()
 	if retry > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
@@ -283,6 +297,9 @@
 		f.p.cfg.Metrics.Took("first", f.firstTook)
 	}
 	f.p.cfg.Metrics.Add("sends", int64(f.sends))
+	if f.cause != "" && !f.p.sums.Full(f.cause, f.r.ID) {
+		return
+	}
 	_ = level.Info(f.p.cfg.Logger).Log("msg", "request", "id", f.r.ID, "route", route, "status", f.status,
 		"reason", f.reason, "upstream", f.upstream, "sends", f.sends, "stages", f.stagesTook, "head", f.headTook, "first", f.firstTook,
 		"pause", f.pause,
--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -159,7 +159,7 @@
 	second := time.Second
 	share := []mproute.Share{{Pool: "app", Weight: 1}}
 	table, err := mproute.New(mproute.Spec{
-		Version: 1,
+		Version: 2,
 		Pools:   []mproute.PoolSpec{{Name: "app"}, {Name: "work", Batch: &mproute.BatchSpec{Size: 8, Call: 100 * time.Millisecond}}},
 		Routes: []mproute.RouteSpec{
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: mproute.Idempotent, Timeout: second, Aim: second, Attempts: 2, Shares: share},
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -210,8 +210,20 @@
 	return best
 }
 
-// Done ends an attempt that Pick counted.
-func (s *Selector) Done(now time.Time, id string, ask Ask, e Ending, took time.Duration) {
+// Change tells what this VM thinks of an upstream after an attempt.
+type Change int
+
+const (
+	// Unchanged upstreams are used, or avoided, as before.
+	Unchanged Change = iota
+	// Avoided upstreams get no attempts for a while.
+	Avoided
+	// Restored upstreams have answered again after failures.
+	Restored
+)
+
+// Done ends an attempt that Pick counted, and returns what it changed.
+func (s *Selector) Done(now time.Time, id string, ask Ask, e Ending, took time.Duration) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.state(id)
@@ -219,15 +231,21 @@
 	st.work = max(st.work-ask.Work, 0)
 	switch e {
 	case Served:
+		failed := st.fails > 0
 		st.fails = 0
 		st.took += time.Duration(tookWeight * float64(took-st.took))
+		if failed {
+			return Restored
+		}
 	case Failed:
 		st.until = now.Add(min(suspectFirst<<min(st.fails, 8), suspectMost))
 		st.fails++
+		return Avoided
 	case Full:
 		st.until = now.Add(suspectFirst / 4)
 	case Dropped:
 	}
+	return Unchanged
 }
 
 // isSuspect reports whether the upstream failed lately.
