mppass, mpstage: Refuse at arrival what the queues on its way make late

Change: an owner's answer tells how long a piece of the same priority waits there; what was told in the last 1.5 s, less the time since, counts towards the path. A request that will be late by it, and would wait 0.8 s or more in queues, is refused when it arrives, with a time to come back. The same waits set the aims of earlier stages.

Tests: five cases of queues at two stages, two of which fail without the check.

--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -178,6 +178,17 @@
 	l.wake()
 }
 
+// Backlog returns how long a new piece would wait in the queue of pool.
+func (o *Owner) Backlog(now time.Time, pool string, priority int) time.Duration {
+	l, err := o.line(pool)
+	if err != nil {
+		return 0 // The plan names no such pool, so nothing waits there.
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.group.Backlog(now, priority)
+}
+
 // Waiting returns the number of pieces that wait in all queues of this VM.
 func (o *Owner) Waiting() int {
 	o.mu.Lock()
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -29,6 +29,9 @@
 	mostOwners = 3
 	// freeAnswer bounds the call that frees results.
 	freeAnswer = 500 * time.Millisecond
+	// toldFor is how long what an owner told of its queue is of use: a few of the
+	// batches that the queue waits for.
+	toldFor = 1500 * time.Millisecond
 )
 
 var errSilent = mperror.Wrap(mperror.ErrUnknown, "owner does not answer")
@@ -49,11 +52,24 @@
 
 	mu     sync.Mutex
 	silent map[string]time.Time
+	told   map[queue]backlog
+}
+
+// queue is what pieces of one priority wait in.
+type queue struct {
+	pool     string
+	priority int
+}
+
+// backlog is what an owner told of a queue.
+type backlog struct {
+	wait time.Duration
+	at   time.Time
 }
 
 // NewRouter returns a router.
 func NewRouter(cfg RouterConfig) *Router {
-	return &Router{cfg: cfg, silent: map[string]time.Time{}}
+	return &Router{cfg: cfg, silent: map[string]time.Time{}, told: map[queue]backlog{}}
 }
 
 // owners returns the VMs that may own pool, best first: the rendezvous order
@@ -84,17 +100,45 @@
 	r.silent[vm] = now.Add(silentFor)
 }
 
+// Backlog returns how long a new piece waits in the queue of pool, as its owner told
+// with its last answer. Since then the queue has become shorter by the time that has
+// passed, for all that is known here.
+func (r *Router) Backlog(now time.Time, pool string, priority int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.told[queue{pool, priority}]
+	age := now.Sub(b.at)
+	if !ok || age > toldFor {
+		return 0
+	}
+	return max(b.wait-age, 0)
+}
+
+func (r *Router) noteBacklog(now time.Time, pool string, priority int, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told[queue{pool, priority}] = backlog{wait, now}
+}
+
+// makeHere returns the results of ask from this VM's own queue.
+func (r *Router) makeHere(ctx context.Context, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error) {
+	made, err := r.cfg.Local.Make(ctx, pool, ask)
+	now := r.cfg.Clock()
+	r.noteBacklog(now, pool, ask.Priority, r.cfg.Local.Backlog(now, pool, ask.Priority))
+	return made, err
+}
+
 // Make returns the results of ask from the owner of pool, or from the next VM
 // in order when the owner does not answer.
 func (r *Router) Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error) {
 	err := mperror.Wrap(mperror.ErrEmpty, "no owner for %s", pool)
 	owners := r.owners(r.cfg.Clock(), pool)
 	if len(owners) == 0 {
-		return r.cfg.Local.Make(ctx, pool, ask)
+		return r.makeHere(ctx, pool, ask)
 	}
 	for _, vm := range owners[:min(len(owners), mostOwners)] {
 		if vm.Name == r.cfg.VM {
-			return r.cfg.Local.Make(ctx, pool, ask)
+			return r.makeHere(ctx, pool, ask)
 		}
 		var made []mpbatch.Result
 		made, err = r.ask(ctx, vm, pool, ask)
@@ -122,6 +166,7 @@
 		}
 		return nil, mperror.Wrap(mperror.ErrUnknown, "%v", err)
 	}
+	r.noteBacklog(r.cfg.Clock(), pool, ask.Priority, mptime.FromMillis(reply.GetWaitMs()))
 	return decode(reply, ask.Stage)
 }
 
@@ -192,7 +237,7 @@
 		DC:       r.GetDc(),
 		Far:      int(r.GetFar()),
 	})
-	reply := &mpwire.MakeReply{}
+	reply := &mpwire.MakeReply{WaitMs: mptime.Millis(o.Backlog(o.cfg.Clock(), r.GetPool(), int(r.GetPriority())))}
 	for _, m := range made {
 		reply.Handles = append(reply.Handles, m.Handle)
 		reply.Dcs = append(reply.Dcs, m.DC)
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -63,6 +63,12 @@
 	return soonest + time.Duration(float64(behind)/rate*float64(time.Second)) + g.cfg.Spec.Length(j.left)
 }
 
+// Backlog returns how long a piece of a new job would wait until its call begins.
+func (g *Group) Backlog(now time.Time, priority int) time.Duration {
+	j := &Job{seq: g.jobs + 1, ask: Ask{Priority: priority, Aim: now.Add(g.cfg.Spec.Keep)}, left: 1}
+	return max(g.Estimate(now, j)-g.cfg.Spec.Length(1), 0)
+}
+
 // isHopeless reports whether j, expected to take wait, will be late and would wait
 // long behind work that can be on time. Its caller is better served by a refusal now.
 func (j *Job) isHopeless(now time.Time, wait time.Duration) bool {
--- a/core/request/mppass/mppass_test.go
+++ b/core/request/mppass/mppass_test.go
@@ -123,8 +123,12 @@
 	asks  []mpbatch.Ask
 	errs  []error
 	freed []string
+	// waits is how long new pieces wait, by pool.
+	waits map[string]time.Duration
 }
 
+func (m *maker) Backlog(_ time.Time, pool string, _ int) time.Duration { return m.waits[pool] }
+
 func (m *maker) Make(_ context.Context, pool string, a mpbatch.Ask) ([]mpbatch.Result, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -160,7 +164,8 @@
 	share := []mproute.Share{{Pool: "app", Weight: 1}}
 	table, err := mproute.New(mproute.Spec{
 		Version: 2,
-		Pools:   []mproute.PoolSpec{{Name: "app"}, {Name: "work", Batch: &mproute.BatchSpec{Size: 8, Call: 100 * time.Millisecond}}},
+		Pools: []mproute.PoolSpec{{Name: "app"}, {Name: "work", Batch: &mproute.BatchSpec{Size: 8, Call: 100 * time.Millisecond}},
+			{Name: "more", Batch: &mproute.BatchSpec{Size: 8, Call: 100 * time.Millisecond}}},
 		Routes: []mproute.RouteSpec{
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: mproute.Idempotent, Timeout: second, Aim: second, Attempts: 2, Shares: share},
 			{Name: "post", Host: "h", Prefix: "/post/", Kind: mproute.NonIdempotent, Timeout: second, Aim: second, Attempts: 1, Shares: share},
@@ -168,6 +173,8 @@
 			{Name: "tale", Host: "h", Prefix: "/tale/", Kind: mproute.Stream, Timeout: 9 * second, Aim: second, Attempts: 2, Shares: share, Resumable: true},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: mproute.Stream, Timeout: 9 * second, Aim: second, Attempts: 1, Shares: share,
 				Stages: []mproute.StageSpec{{Pool: "work"}, {Pool: "work", After: []int{0}}}},
+			{Name: "long", Host: "h", Prefix: "/long/", Kind: mproute.Stream, Timeout: 9 * second, Aim: 2 * second, Attempts: 1, Shares: share,
+				Stages: []mproute.StageSpec{{Pool: "work"}, {Pool: "more", After: []int{0}}}},
 		},
 		Accounts: []mproute.AccountSpec{{Name: "ana", Keys: []string{"key"}}},
 	})
@@ -414,6 +421,36 @@
 			}
 		}
 	})
+	// Bursts of both users' heaviest days: requests passed the first stage, which has
+	// servers to spare, and were refused at the second after a second or more.
+	t.Run("one that will be late at a later stage is refused at arrival", func(t *testing.T) {
+		for name, c := range map[string]struct {
+			work, more time.Duration
+			asks       int
+		}{
+			"calm":                                  {0, 0, 2},
+			"a long queue at the second stage":      {0, 1900 * time.Millisecond, 0},
+			"two queues that are too long together": {900 * time.Millisecond, 900 * time.Millisecond, 0},
+			"a queue that leaves enough time":       {0, 1200 * time.Millisecond, 2},
+			"two queues that leave enough together": {500 * time.Millisecond, 700 * time.Millisecond, 2},
+		} {
+			t.Run(name, func(t *testing.T) {
+				r, q := newRig(t, reply{status: 200, body: events}), request("/long/")
+				q.Pieces = []int{1, 1}
+				r.maker.waits = map[string]time.Duration{"work": c.work, "more": c.more}
+				r.serve(t.Context(), q)
+				if diff := cmp.Diff(c.asks, len(r.maker.asks)); diff != "" {
+					t.Errorf("stages asked for (-want +got):\n%s", diff)
+				}
+			})
+		}
+	})
+	t.Run("one that is late anyway but waits little is made", func(t *testing.T) {
+		r, q := newRig(t, reply{status: 200, body: events}), staged()
+		r.maker.waits = map[string]time.Duration{"work": 390 * time.Millisecond}
+		q.Prompt = []Part{{ID: "x", Tokens: 100_000}}
+		checkAnswer(t, answer{Status: 200, Body: events, Sent: 1}, r.serve(t.Context(), q))
+	})
 	t.Run("a number of pieces without measure takes no memory", func(t *testing.T) {
 		r, q := newRig(t), staged()
 		q.Pieces = []int{1 << 40, 1}
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -14,6 +14,10 @@
 // allows, since upstreams have room for a few of them only.
 const largeResult = 1 << 20
 
+// mostWaits is how long a request that will be late may wait in the queues of its
+// stages: a caller asks again sooner than that.
+const mostWaits = 800 * time.Millisecond
+
 // mostPieces bounds the pieces of one stage, which take memory here and at the
 // owner: far more than a request needs, far less than a caller can write.
 const mostPieces = 4096
@@ -51,6 +55,9 @@
 		made:    make([][]mpbatch.Result, len(spec.Stages)),
 		readers: make([]int, len(spec.Stages)),
 	}
+	if err := s.checkTime(begun); err != nil {
+		return err
+	}
 	err := s.makeAll(ctx)
 	f.stagesTook += f.p.cfg.Clock().Sub(begun)
 	return err
@@ -95,6 +102,47 @@
 	return nil
 }
 
+// checkTime returns an error that wraps ErrLate for a request that will be late, by
+// what is known of the queues of its stages, and would wait long in them. It had
+// better come back later than take places from others on the way.
+func (s *stageRun) checkTime(now time.Time) error {
+	for i, n := range s.counts {
+		if n == 0 || len(s.inputs(i)) > 0 {
+			continue
+		}
+		wait, at := s.waits(now, i)
+		_, likely := s.rest(i)
+		end := now.Add(s.backlog(now, i) + s.length(i) + likely)
+		if wait > mostWaits && end.After(s.f.aim) {
+			return &mpbatch.LateError{Stage: at, Wait: wait}
+		}
+	}
+	return nil
+}
+
+// waits returns how long the request waits in queues from stage i on, and the stage
+// where it waits longest.
+func (s *stageRun) waits(now time.Time, i int) (sum time.Duration, longest int) {
+	own := s.backlog(now, i)
+	longest = i
+	for next := i + 1; next < len(s.counts); next++ {
+		if !slices.Contains(s.inputs(next), i) {
+			continue
+		}
+		if rest, at := s.waits(now, next); rest > sum {
+			sum = rest
+			if s.backlog(now, at) > own {
+				longest = at
+			}
+		}
+	}
+	return own + sum, longest
+}
+
+func (s *stageRun) backlog(now time.Time, i int) time.Duration {
+	return s.f.p.cfg.Maker.Backlog(now, s.pool(i), s.f.priority)
+}
+
 func (s *stageRun) pool(i int) string { return s.f.route.Spec().Stages[i].Pool }
 
 func (s *stageRun) inputs(i int) []int {
@@ -228,13 +276,15 @@
 
 // rest returns the least and the likely time that the request needs after stage i.
 func (s *stageRun) rest(i int) (least, likely time.Duration) {
+	now := s.f.p.cfg.Clock()
 	for next := i + 1; next < len(s.counts); next++ {
 		for _, in := range s.inputs(next) {
 			if in != i {
 				continue
 			}
 			l, k := s.rest(next)
-			l, k = l+s.length(next), k+s.length(next)+s.f.p.forecast.wait(s.pool(next))
+			wait := max(s.f.p.forecast.wait(s.pool(next)), s.backlog(now, next))
+			l, k = l+s.length(next), k+s.length(next)+wait
 			least, likely = max(least, l), max(likely, k)
 		}
 	}
--- a/core/request/mppass/types.go
+++ b/core/request/mppass/types.go
@@ -73,6 +73,8 @@
 type Maker interface {
 	Make(ctx context.Context, pool string, ask mpbatch.Ask) ([]mpbatch.Result, error)
 	Free(pool string, handles []string)
+	// Backlog returns how long a new piece is expected to wait at pool.
+	Backlog(now time.Time, pool string, priority int) time.Duration
 }
 
 // State is what is in force at this VM.
