mpseat, mpgateway: Let a voter whose disk fails step aside

A full disk is among the troubles that may come anywhere.

Ruled out: lost state (the log takes nothing that it has not synchronised, and the voter came back with its log each time).

Change: mpseat.Keep closes the seat, goes on without it, and opens the data folder again after 0.5 s, until that works. A damaged folder still ends the process.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -215,27 +215,24 @@
 	go g.member.Run(ctx)
 	failed := make(chan error, 1)
 	if g.cfg.Votes {
-		seat, err := mpseat.Start(ctx, leave, mpseat.Config{
-			Voter: mpvoter.Config{
-				VM:      g.cfg.VM,
-				Address: g.cfg.Peer,
-				Data:    g.cfg.Data,
-				Seeds:   g.cfg.Seeds,
-				Founds:  g.cfg.Founds,
-				Client:  g.client,
-				Logger:  g.cfg.Logger,
-			},
-			Segment:   g.cfg.Segment,
-			Election:  g.cfg.Election,
-			Lease:     g.cfg.Lease,
-			Quorate:   g.cfg.Quorate,
-			Upstreams: g.cfg.Upstreams,
-		}, failed)
-		if err != nil {
-			return err
-		}
-		defer seat.Stop()
-		g.seats.SetSeat(seat)
+		go func() {
+			failed <- mpseat.Keep(ctx, leave, mpseat.Config{
+				Voter: mpvoter.Config{
+					VM:      g.cfg.VM,
+					Address: g.cfg.Peer,
+					Data:    g.cfg.Data,
+					Seeds:   g.cfg.Seeds,
+					Founds:  g.cfg.Founds,
+					Client:  g.client,
+					Logger:  g.cfg.Logger,
+				},
+				Segment:   g.cfg.Segment,
+				Election:  g.cfg.Election,
+				Lease:     g.cfg.Lease,
+				Quorate:   g.cfg.Quorate,
+				Upstreams: g.cfg.Upstreams,
+			}, g.seats.SetSeat)
+		}()
 	}
 	if g.cfg.Caller != "" {
 		go mptime.Every(ctx, orphanEvery, func(now time.Time) { g.readList(ctx, now) })
@@ -245,6 +242,9 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		if g.cfg.Votes {
+			return <-failed // The data folder is closed then.
+		}
 		return nil
 	}
 }
