--- a/core/connection/mpupstream/transport_test.go
+++ b/core/connection/mpupstream/transport_test.go
@@ -70,7 +70,7 @@
 	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly"); err != nil {
 		return
 	}
-	time.Sleep(e.pause)
+	<-time.After(e.pause)
 	_ = c.SetReadDeadline(time.Now().Add(restWithin))
 	// The connection is closed by the other side, or stays open until the deadline.
 	rest, _ := io.ReadAll(r)
--- a/core/process/mplog/sums_test.go
+++ b/core/process/mplog/sums_test.go
@@ -24,9 +24,9 @@
 			if s.Full("stages late", id) {
 				_ = level.Info(logger).Log("msg", "request", "id", id, "status", 503, "reason", "stages late")
 			}
-			time.Sleep(time.Second / time.Duration(rate))
+			<-time.After(time.Second / time.Duration(rate))
 		}
-		time.Sleep(2 * sumEvery)
+		<-time.After(2 * sumEvery)
 		synctest.Wait()
 	})
 	return out.String()
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -87,13 +87,6 @@
 	done chan outcome
 }
 
-// belief is what a member believes of the elections.
-type belief struct {
-	term   uint64
-	role   string
-	leader string
-}
-
 // Status describes a replica for operators.
 type Status struct {
 	Member  mpquorum.Member     `json:"member"`
@@ -462,33 +455,6 @@
 	}
 }
 
-func (r *Replica) noteLeading(now time.Time) {
-	r.noteTerm()
-	leading := r.node.IsLeader()
-	if leading == r.leading {
-		return
-	}
-	r.leading = leading
-	level.Info(r.cfg.Logger).Log("msg", "leadership", "leading", leading, "term", r.node.Term())
-	if !leading {
-		r.failAll(mperror.ErrUnknown)
-	}
-	if r.cfg.OnLeading != nil {
-		r.cfg.OnLeading(now, leading)
-	}
-}
-
-// noteTerm logs what this member believes of the elections.
-func (r *Replica) noteTerm() {
-	lead, _ := r.node.Leader()
-	seen := belief{term: r.node.Term(), role: r.node.Role(), leader: lead.VM}
-	if seen == r.seen {
-		return
-	}
-	r.seen = seen
-	_ = level.Info(r.cfg.Logger).Log("msg", "term", "term", seen.term, "role", seen.role, "leader", seen.leader, "last", r.node.Last(), "commit", r.node.Commit())
-}
-
 func (r *Replica) failAll(err error) {
 	for index, w := range r.pending {
 		w.done <- outcome{err: err}
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -32,7 +32,7 @@
 var _ Caller = (*maker)(nil)
 
 func (m *maker) Run(_ context.Context, _ time.Time, c mpbatch.Call) mpbatch.Outcome {
-	time.Sleep(c.Expected)
+	<-time.After(c.Expected)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out mpbatch.Outcome
@@ -125,7 +125,7 @@
 			t.Errorf("results (-want +got):\n%s", diff)
 		}
 		o.Free("first", inputs)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if diff := cmp.Diff(8, len(m.dropped)); diff != "" {
--- a/core/request/mppass/explain_test.go
+++ b/core/request/mppass/explain_test.go
@@ -85,7 +85,7 @@
 				r.maker.errs = []error{late}
 				r.serve(t.Context(), staged(id))
 			}
-			time.Sleep(2 * time.Second)
+			<-time.After(2 * time.Second)
 			synctest.Wait()
 			checkExplained(t, []string{"a requests not served cause=stages late"}, explain(t, "r7", r))
 		})
