mplog: Name what a sum is about, and sum attempts apart from requests

Explain took a sum of failed attempts for the end of its requests, and told sums of stages by the words of their cause. Each kind of sum has a message of its own now.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: build platform-build demo test unit lint format soak bench slopes generate clean
+.PHONY: build platform-build demo test unit lint format soak platform-soak bench slopes generate clean
 
 build: platform-build
 	$(GO) build -o bin/mustardpostd ./mustardpostd
@@ -37,6 +37,11 @@
 clean:
 	rm -rf bin run
 
+# The platform's program under faults, with a stand-in of the platform. KEEP names a
+# folder for the logs.
+platform-soak:
+	cd platform && SEED=$(SEED) DURATION=$(DURATION) KEEP=$(KEEP) $(GO) test -count=1 -timeout 60m -v ./internal/mpsoak
+
 soak: build
 	cd mustardfake && SEED=$(SEED) DURATION=$(DURATION) $(GO) test -count=1 -timeout 60m -v -run Soak ./internal/mpsoak
 
--- a/core/process/mplog/story.go
+++ b/core/process/mplog/story.go
@@ -13,11 +13,17 @@
 	"mustardpost.org/core/common/mperror"
 )
 
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// The messages of lines about several requests.
 const (
-	// maxLine bounds a line of a log, in bytes.
-	maxLine = 1 << 20
-	// msgSum is the message of a line about several requests.
-	msgSum = "requests not served"
+	// SumRequests is about those that ended without an answer.
+	SumRequests = "requests not served"
+	// SumStages is about those that the owner of a stage refused.
+	SumStages = "stages refused"
+	// SumAttempts is about those that an attempt at an upstream did not answer.
+	SumAttempts = "attempts failed"
 )
 
 // Field is one key with its value.
@@ -60,7 +66,7 @@
 	for _, r := range logs {
 		if err := readLines(r, func(l Line) {
 			switch {
-			case l.Get("id") == id, l.Msg == msgSum && slices.Contains(strings.Split(l.Get("ids"), ","), id):
+			case l.Get("id") == id, isSum(l) && slices.Contains(strings.Split(l.Get("ids"), ","), id):
 				s.Lines = append(s.Lines, l)
 			case l.Msg == "batch":
 				calls = append(calls, l)
@@ -80,6 +86,10 @@
 	return s, nil
 }
 
+func isSum(l Line) bool {
+	return l.Msg == SumRequests || l.Msg == SumStages || l.Msg == SumAttempts
+}
+
 func readLines(r io.Reader, f func(Line)) error {
 	scan := bufio.NewScanner(r)
 	scan.Buffer(make([]byte, 64<<10), maxLine)
@@ -148,9 +158,7 @@
 }
 
 func (s *Story) findGaps(drops []Line) {
-	ended := slices.IndexFunc(s.Lines, func(l Line) bool {
-		return l.Msg == "request" || l.Msg == msgSum && !strings.HasPrefix(l.Get("cause"), "stage refused")
-	})
+	ended := slices.IndexFunc(s.Lines, func(l Line) bool { return l.Msg == "request" || l.Msg == SumRequests })
 	if ended < 0 {
 		s.Gaps = append(s.Gaps, "no line for the end of the request: its VM ended before it, or its log is not among the files")
 	} else if took, err := time.ParseDuration(s.Lines[ended].Get("stages")); err == nil && took > 0 &&
--- a/core/process/mplog/sums.go
+++ b/core/process/mplog/sums.go
@@ -23,6 +23,7 @@
 // line with their number and ids. It is safe for concurrent use.
 type Sums struct {
 	logger log.Logger
+	msg    string
 
 	mu     sync.Mutex
 	causes map[string]*sum
@@ -34,8 +35,11 @@
 	ids   []string
 }
 
-// NewSums returns sums that are written to logger.
-func NewSums(logger log.Logger) *Sums { return &Sums{logger: logger, causes: map[string]*sum{}} }
+// NewSums returns sums that are written to logger with the message msg, which is
+// SumRequests, SumStages or SumAttempts.
+func NewSums(logger log.Logger, msg string) *Sums {
+	return &Sums{logger: logger, msg: msg, causes: map[string]*sum{}}
+}
 
 // Full reports whether the line about request id, which ended for cause, should be
 // written. Otherwise it becomes part of a sum.
@@ -65,6 +69,6 @@
 	delete(s.causes, cause)
 	s.mu.Unlock()
 	if c.count > 0 {
-		_ = level.Info(s.logger).Log("msg", msgSum, "cause", cause, "requests", c.count, "ids", strings.Join(c.ids, ","))
+		_ = level.Info(s.logger).Log("msg", s.msg, "cause", cause, "requests", c.count, "ids", strings.Join(c.ids, ","))
 	}
 }
--- a/core/process/mplog/sums_test.go
+++ b/core/process/mplog/sums_test.go
@@ -18,7 +18,7 @@
 	var out bytes.Buffer
 	synctest.Test(t, func(t *testing.T) {
 		logger := New(&out, "info", "vm", "a")
-		s := NewSums(logger)
+		s := NewSums(logger, SumRequests)
 		for i := range rate * int(length/time.Second) {
 			id := fmt.Sprintf("%016x", i)
 			if s.Full("stages late", id) {
@@ -73,7 +73,7 @@
 	})
 	t.Run("few refusals are told in full", func(t *testing.T) {
 		text := refuse(t, 3, 3*time.Second)
-		if strings.Contains(text, msgSum) || strings.Count(text, "msg=request ") != 9 {
+		if strings.Contains(text, SumRequests) || strings.Count(text, "msg=request ") != 9 {
 			t.Errorf("got\n%s", text)
 		}
 	})
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -74,7 +74,7 @@
 
 // NewOwner returns an owner whose work ends with ctx.
 func NewOwner(ctx context.Context, cfg OwnerConfig) *Owner {
-	return &Owner{cfg: cfg, ctx: ctx, sums: mplog.NewSums(cfg.Logger), lines: map[string]*line{}}
+	return &Owner{cfg: cfg, ctx: ctx, sums: mplog.NewSums(cfg.Logger, mplog.SumStages), lines: map[string]*line{}}
 }
 
 // Set replaces the plan and the upstreams that may get calls.
@@ -130,7 +130,7 @@
 	j, err := l.group.Add(begun, ask)
 	l.mu.Unlock()
 	if err != nil {
-		if !o.sums.Full("stage refused by the owner of "+pool, ask.Request) {
+		if !o.sums.Full("pool "+pool, ask.Request) {
 			return nil, err
 		}
 		_ = level.Info(o.cfg.Logger).Log("msg", "stage refused", "id", ask.Request, "pool", pool, "stage", ask.Stage, "err", err)
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -65,6 +65,7 @@
 
 // Backlog returns how long a piece of a new job would wait until its call begins.
 func (g *Group) Backlog(now time.Time, priority int) time.Duration {
+	// With an aim that far the job does not count as late already.
 	j := &Job{seq: g.jobs + 1, ask: Ask{Priority: priority, Aim: now.Add(g.cfg.Spec.Keep)}, left: 1}
 	return max(g.Estimate(now, j)-g.cfg.Spec.Length(1), 0)
 }
--- a/core/request/mppass/attempt.go
+++ b/core/request/mppass/attempt.go
@@ -127,7 +127,7 @@
 // logAttempt writes a line for an attempt that did not answer the request, and for
 // what it changed in the choice of upstreams. Its request has a line of its own.
 func (f *flow) logAttempt(row mplist.Row, v verdict, change mpselect.Change, why string, took time.Duration) {
-	if v != answered && f.p.sums.Full("attempt "+v.String()+" at "+row.Pool, f.r.ID) {
+	if v != answered && f.p.failed.Full(v.String()+" at "+row.Pool, f.r.ID) {
 		_ = level.Info(f.p.cfg.Logger).Log("msg", "attempt", "id", f.r.ID, "pool", row.Pool, "upstream", row.ID, "dc", row.DC,
 			"send", f.sends, "ended", v, "why", why, "took", took, "left", f.deadline.Sub(f.p.cfg.Clock()))
 	}
--- a/core/request/mppass/mppass.go
+++ b/core/request/mppass/mppass.go
@@ -66,13 +66,16 @@
 type Passer struct {
 	cfg      Config
 	forecast *forecast
-	// sums bounds the lines about refused requests.
-	sums *mplog.Sums
+	// unserved and failed bound the lines about requests and about attempts.
+	unserved, failed *mplog.Sums
 }
 
 // New returns a passer.
 func New(cfg Config) *Passer {
-	return &Passer{cfg: cfg, forecast: newForecast(), sums: mplog.NewSums(cfg.Logger)}
+	return &Passer{
+		cfg: cfg, forecast: newForecast(),
+		unserved: mplog.NewSums(cfg.Logger, mplog.SumRequests), failed: mplog.NewSums(cfg.Logger, mplog.SumAttempts),
+	}
 }
 
 // flow is one request on its way.
@@ -297,7 +300,7 @@
 		f.p.cfg.Metrics.Took("first", f.firstTook)
 	}
 	f.p.cfg.Metrics.Add("sends", int64(f.sends))
-	if f.cause != "" && !f.p.sums.Full(f.cause, f.r.ID) {
+	if f.cause != "" && !f.p.unserved.Full(f.cause, f.r.ID) {
 		return
 	}
 	_ = level.Info(f.p.cfg.Logger).Log("msg", "request", "id", f.r.ID, "route", route, "status", f.status,
