mpsoak: Take ports that outgoing connections do not get

The test's ports begin at 33000, and from 32768 on the system gives ports to outgoing connections, of which the tests before it leave hundreds behind.

Ruled out: two tests at the same ports (31000 and below, and 33000), processes left over from an earlier test (none; they are ended by id).

Change: ports from 32000 on, and a check that no deployment reaches 32768.

--- a/mustardfake/internal/mpsoak/soak_test.go
+++ b/mustardfake/internal/mpsoak/soak_test.go
@@ -35,6 +35,11 @@
 	pollEvery  = 50 * time.Millisecond
 	leaseBound = 3500 * time.Millisecond
 	sampleName = "prairies"
+	// lastPort is the last port of a deployment that starts at the port 0, and
+	// outgoing the first that the system gives to outgoing connections: one that has
+	// it makes a process fail to listen.
+	lastPort = 200
+	outgoing = 32768
 )
 
 // process is one VM's process.
@@ -85,6 +90,9 @@
 
 func newWorld(t *testing.T, seed uint64, port int) *world {
 	t.Helper()
+	if port+lastPort >= outgoing {
+		t.Fatalf("ports from %d on may be taken by outgoing connections", port)
+	}
 	dir := t.TempDir()
 	layout, err := mpsample.Write(dir, sampleName, mpsample.Options{Port: port, Strict: true, Relay: true})
 	if err != nil {
@@ -362,7 +370,7 @@
 	if testing.Short() {
 		t.Skip("needs built programs")
 	}
-	w := newWorld(t, 2, 33000)
+	w := newWorld(t, 2, 32000)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p := w.layout.Profile
