mppass, mpbatch, mpquorum, mpstage: Let one piece serve where two stood

How long late work may wait behind other work stood as a constant at the owner and again at arrival; mpbatch.LateMost serves both. Two loops over the stages that read a stage are one, readBy, and what a request still needs is worked out for a given time instead of reading the clock at each level. The early retry of a pre-vote was written twice. Lists in log lines are joined by strings.

No change of behaviour: tests and their bounds are the same.

--- a/core/process/mpquorum/elect.go
+++ b/core/process/mpquorum/elect.go
@@ -35,7 +35,7 @@
 	n.lead = 0
 	// A pre-vote changes no state elsewhere, so it is tried again soon: others may
 	// still be starting.
-	n.deadline = now.Add(n.cfg.Election/earlyPart + n.spread(n.cfg.Election/earlyPart))
+	n.resetEarly(now)
 	n.votes = map[Member]bool{n.cfg.Self: true}
 	if n.won() {
 		n.campaign(now, false)
@@ -201,7 +201,7 @@
 // so that voters that start together do not split their votes.
 func (n *Node) makeWay(now time.Time) {
 	n.role = follower
-	n.deadline = now.Add(n.cfg.Election/earlyPart + n.spread(n.cfg.Election/earlyPart))
+	n.resetEarly(now)
 }
 
 func (n *Node) receivePreVote(now time.Time, e Envelope) {
--- a/core/process/mpquorum/node.go
+++ b/core/process/mpquorum/node.go
@@ -280,6 +280,12 @@
 	n.deadline = now.Add(n.cfg.Election + n.spread(n.cfg.Election))
 }
 
+// resetEarly lets the next pre-vote come after a part of the election timeout.
+func (n *Node) resetEarly(now time.Time) {
+	early := n.cfg.Election / earlyPart
+	n.deadline = now.Add(early + n.spread(early))
+}
+
 func (n *Node) spread(d time.Duration) time.Duration {
 	return time.Duration(n.cfg.Rand.Int64N(int64(max(d, 1))))
 }
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -155,14 +155,11 @@
 }
 
 func callList(ids []uint64) string {
-	var b strings.Builder
+	words := make([]string, len(ids))
 	for i, id := range ids {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		b.WriteString(strconv.FormatUint(id, 10))
+		words[i] = strconv.FormatUint(id, 10)
 	}
-	return b.String()
+	return strings.Join(words, ",")
 }
 
 // Free gives up results that this owner or another one made.
@@ -256,17 +253,13 @@
 
 // missing lists the reasons for which items of a call were not made.
 func missing(items []mpbatch.Made) string {
-	var b strings.Builder
+	var reasons []string
 	for _, m := range items {
-		if m.Handle != "" {
-			continue
-		}
-		if b.Len() > 0 {
-			b.WriteByte(',')
+		if m.Handle == "" {
+			reasons = append(reasons, string(m.Reason))
 		}
-		b.WriteString(string(m.Reason))
 	}
-	return b.String()
+	return strings.Join(reasons, ",")
 }
 
 // free tells the makers of results that nobody needs them.
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// lateMost is how long a job that will be late may still have to wait: a
-	// caller asks again sooner than that.
-	lateMost = 800 * time.Millisecond
+	// LateMost is how long a job or a request that will be late may still have to
+	// wait behind others: a caller asks again sooner than that.
+	LateMost = 800 * time.Millisecond
 	// checkEvery bounds the work of looking for jobs without hope.
 	checkEvery = 50 * time.Millisecond
 )
@@ -73,7 +73,7 @@
 // isHopeless reports whether j, expected to take wait, will be late and would wait
 // long behind work that can be on time. Its caller is better served by a refusal now.
 func (j *Job) isHopeless(now time.Time, wait time.Duration) bool {
-	return j.begun.IsZero() && wait > lateMost && now.Add(wait).After(j.ask.Aim)
+	return j.begun.IsZero() && wait > LateMost && now.Add(wait).After(j.ask.Aim)
 }
 
 // length returns how long a call with that many pieces takes at s.
--- a/core/request/mpbatch/group_test.go
+++ b/core/request/mpbatch/group_test.go
@@ -210,7 +210,7 @@
 		}
 	}
 	// The aim, what a late job may wait, and the length of its calls.
-	if limit := 900*time.Millisecond + lateMost + 300*time.Millisecond; waited > limit {
+	if limit := 900*time.Millisecond + LateMost + 300*time.Millisecond; waited > limit {
 		t.Errorf("a request waited %v, want %v at most", waited, limit)
 	}
 	if served < 8 {
--- a/core/request/mppass/stages.go
+++ b/core/request/mppass/stages.go
@@ -14,10 +14,6 @@
 // allows, since upstreams have room for a few of them only.
 const largeResult = 1 << 20
 
-// mostWaits is how long a request that will be late may wait in the queues of its
-// stages: a caller asks again sooner than that.
-const mostWaits = 800 * time.Millisecond
-
 // mostPieces bounds the pieces of one stage, which take memory here and at the
 // owner: far more than a request needs, far less than a caller can write.
 const mostPieces = 4096
@@ -111,9 +107,9 @@
 			continue
 		}
 		wait, at := s.waits(now, i)
-		_, likely := s.rest(i)
+		_, likely := s.rest(now, i)
 		end := now.Add(s.backlog(now, i) + s.length(i) + likely)
-		if wait > mostWaits && end.After(s.f.aim) {
+		if wait > mpbatch.LateMost && end.After(s.f.aim) {
 			return &mpbatch.LateError{Stage: at, Wait: wait}
 		}
 	}
@@ -125,10 +121,7 @@
 func (s *stageRun) waits(now time.Time, i int) (sum time.Duration, longest int) {
 	own := s.backlog(now, i)
 	longest = i
-	for next := i + 1; next < len(s.counts); next++ {
-		if !slices.Contains(s.inputs(next), i) {
-			continue
-		}
+	for _, next := range s.readBy(i) {
 		if rest, at := s.waits(now, next); rest > sum {
 			sum = rest
 			if s.backlog(now, at) > own {
@@ -152,6 +145,17 @@
 	return s.f.route.Inputs(i, s.counts)
 }
 
+// readBy returns the stages that read stage i.
+func (s *stageRun) readBy(i int) []int {
+	var out []int
+	for next := i + 1; next < len(s.counts); next++ {
+		if slices.Contains(s.inputs(next), i) {
+			out = append(out, next)
+		}
+	}
+	return out
+}
+
 // waitFor returns the stages that must be there before stage i starts: those
 // it reads; for a large result that the request itself reads, those that the
 // longest other branch needs for its last step.
@@ -187,7 +191,7 @@
 	}
 	inputs := s.inputs(i)
 	begun := s.f.p.cfg.Clock()
-	made, err := s.f.p.cfg.Maker.Make(ctx, s.pool(i), s.ask(i))
+	made, err := s.f.p.cfg.Maker.Make(ctx, s.pool(i), s.ask(begun, i))
 	if err != nil {
 		return err
 	}
@@ -218,8 +222,8 @@
 	}
 }
 
-func (s *stageRun) ask(i int) mpbatch.Ask {
-	least, likely := s.rest(i)
+func (s *stageRun) ask(now time.Time, i int) mpbatch.Ask {
+	least, likely := s.rest(now, i)
 	ask := mpbatch.Ask{
 		Request:  s.f.r.ID,
 		Stage:    i,
@@ -275,18 +279,12 @@
 }
 
 // rest returns the least and the likely time that the request needs after stage i.
-func (s *stageRun) rest(i int) (least, likely time.Duration) {
-	now := s.f.p.cfg.Clock()
-	for next := i + 1; next < len(s.counts); next++ {
-		for _, in := range s.inputs(next) {
-			if in != i {
-				continue
-			}
-			l, k := s.rest(next)
-			wait := max(s.f.p.forecast.wait(s.pool(next)), s.backlog(now, next))
-			l, k = l+s.length(next), k+s.length(next)+wait
-			least, likely = max(least, l), max(likely, k)
-		}
+func (s *stageRun) rest(now time.Time, i int) (least, likely time.Duration) {
+	for _, next := range s.readBy(i) {
+		l, k := s.rest(now, next)
+		wait := max(s.f.p.forecast.wait(s.pool(next)), s.backlog(now, next))
+		l, k = l+s.length(next), k+s.length(next)+wait
+		least, likely = max(least, l), max(likely, k)
 	}
 	if least == 0 {
 		return firstBase, s.f.p.forecast.first(s.f.pool.Spec().Name, s.f.r.Prompt)
