mpusage: Log what a VM uses of its processor and link, and count bytes to upstreams

A line msg=usage every 2 s tells processor time, scheduling delay and bytes to and from upstreams and peers; metrics get the same, with those of the process and the Go runtime from the library.

--- a/core/connection/mppeer/traffic.go
+++ b/core/connection/mppeer/traffic.go
@@ -6,6 +6,7 @@
 	"google.golang.org/grpc/stats"
 
 	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/process/mpusage"
 )
 
 var _ stats.Handler = trafficStats{}
@@ -25,11 +26,11 @@
 func (t trafficStats) HandleRPC(_ context.Context, s stats.RPCStats) {
 	switch s := s.(type) {
 	case *stats.InPayload:
-		t.metrics.Add("peer.in", int64(s.WireLength))
+		t.metrics.Add(mpusage.PeerIn, int64(s.WireLength))
 	case *stats.OutPayload:
-		t.metrics.Add("peer.out", int64(s.WireLength))
+		t.metrics.Add(mpusage.PeerOut, int64(s.WireLength))
 	case *stats.InHeader:
-		t.metrics.Add("peer.in", int64(s.WireLength))
+		t.metrics.Add(mpusage.PeerIn, int64(s.WireLength))
 	case *stats.End:
 		t.metrics.Add("peer.calls", 1)
 	}
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -1,10 +1,14 @@
 package mpupstream
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
+
+	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/process/mpusage"
 )
 
 const (
@@ -43,7 +47,34 @@
 }
 
 // NewTransport returns a transport for proxying requests unchanged, over
-// connections with local address source.
-func NewTransport(source net.IP) *http.Transport {
-	return newTransport(newDialer(source), proxyMaxIdleConnsPerHost, proxyIdleConnTimeout)
+// connections with local address source. The bytes on them are counted in m.
+func NewTransport(source net.IP, m *mpmetric.Set) *http.Transport {
+	t := newTransport(newDialer(source), proxyMaxIdleConnsPerHost, proxyIdleConnTimeout)
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, metrics: m}, nil
+	}
+	return t
+}
+
+// countedConn is a connection to an upstream that counts its bytes.
+type countedConn struct {
+	net.Conn
+	metrics *mpmetric.Set
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.metrics.Add(mpusage.UpstreamIn, int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.metrics.Add(mpusage.UpstreamOut, int64(n))
+	return n, err
 }
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -24,6 +24,7 @@
 	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpstage"
+	"mustardpost.org/core/process/mpusage"
 	"mustardpost.org/core/process/mpvoter"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpproxy"
@@ -86,6 +87,7 @@
 	// DecodePlan returns the routing table of a published plan.
 	DecodePlan func(mpview.Routing) (*mproute.Table, error)
 	Transport  http.RoundTripper
+	Metrics    *mpmetric.Set
 	Logger     log.Logger
 }
 
@@ -122,7 +124,7 @@
 func New(ctx context.Context, boot uint64, cfg Config) *Gateway {
 	g := &Gateway{
 		cfg:          cfg,
-		metrics:      mpmetric.New(),
+		metrics:      cfg.Metrics,
 		selector:     mpselect.New(mpselect.Config{VM: cfg.VM}),
 		voterService: &mpconsensus.Service{IsVoter: cfg.IsVoter},
 		budgets:      map[string]*mpbudget.Budget{},
@@ -239,6 +241,7 @@
 	if g.cfg.CallerAddress != "" {
 		go mptime.Every(ctx, fallbackListInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
 	}
+	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) { g.selector.Prune(now, g.List()) })
 	select {
 	case err := <-failed:
--- a/core/process/mpmetric/mpmetric.go
+++ b/core/process/mpmetric/mpmetric.go
@@ -88,7 +88,9 @@
 // Var returns all metrics but the histograms as one expvar variable.
 func (s *Set) Var() expvar.Var { return &s.vars }
 
-// WritePrometheus writes all counters, histograms and gauges in the Prometheus text format.
+// WritePrometheus writes all counters, histograms and gauges in the Prometheus text format,
+// with those of the process and of the Go runtime.
 func (s *Set) WritePrometheus(w io.Writer) {
 	s.prometheus.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
 }
