mpproxy: Bound streams and events in bytes, and count bytes without end as a fault

Callers of a stream whose upstream sends bytes that are no event, at once or as a slow drip, got nothing until their deadline although the stream could go on elsewhere; callers of a stream that may not be resumed got such bytes until their deadline. Cause: each byte counted as progress and restarted the timer of the attempt, what was kept of an unfinished event had no limit, and a body over the limit was not counted as the upstream's fault.

The timer now restarts with each complete event, an event or line is limited to 1 MiB and a stream to 16 MiB, a body whose announced length is over the limit is not read, and all of these count as a fault.

Heads, in which the limit of net/http's transport holds, and bodies passed before.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -22,8 +22,12 @@
 const (
 	// maxResponseBytes limits responses that are buffered before they are forwarded.
 	maxResponseBytes = 16 << 20
+	// maxStreamBytes limits streams, and maxEventBytes an event of a resumable stream and
+	// a line of any other.
+	maxStreamBytes = 16 << 20
+	maxEventBytes  = 1 << 20
 	// A resumable stream is resumed elsewhere if it sends no first event within
-	// firstEventTimeoutFactor times the route's latency target, or no data for
+	// firstEventTimeoutFactor times the route's latency target, or no complete event for
 	// eventGapTimeout after that.
 	firstEventTimeoutFactor = 1.5
 	eventGapTimeout         = 1500 * time.Millisecond
@@ -235,12 +239,15 @@
 // forwardBuffered reads the whole response before forwarding it. A truncated
 // response can then be replaced by another attempt or an error status.
 func (e *exchange) forwardBuffered(resp *http.Response, last bool) (attemptResult, mpselect.Outcome, string) {
+	if resp.ContentLength > maxResponseBytes {
+		return failed, mpselect.Failed, "response body too large"
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return failed, mpselect.Failed, "read response body: " + err.Error()
 	}
 	if len(body) > maxResponseBytes {
-		return failed, mpselect.Succeeded, "response body too large"
+		return failed, mpselect.Failed, "response body too large"
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && e.route.IsRepeatable() && !last && e.hasTimeToRetry() {
 		return failed, mpselect.Succeeded, "upstream error: " + resp.Status
@@ -286,15 +293,24 @@
 	flusher := http.NewResponseController(e.w)
 	var splitter eventSplitter
 	buf := make([]byte, 8<<10)
+	total, line := 0, 0
 	for {
 		n, err := resp.Body.Read(buf)
+		total += n
+		line = lineLength(line, buf[:n])
+		if total > maxStreamBytes || line > maxEventBytes {
+			return failed, mpselect.Failed, "stream too large"
+		}
 		if n > 0 {
 			out := buf[:n]
 			if e.route.Spec().Resumable {
 				if out = splitter.add(out); splitter.lastID != "" {
 					e.lastEventID = splitter.lastID
 				}
-				if !last {
+				if len(splitter.remainder()) > maxEventBytes {
+					return failed, mpselect.Failed, "event too large"
+				}
+				if !last && len(out) > 0 {
 					idleTimer.Reset(eventGapTimeout)
 				}
 			}
@@ -313,6 +329,15 @@
 	}
 }
 
+// lineLength returns the length of the last line so far, after data was added to one of
+// length n.
+func lineLength(n int, data []byte) int {
+	if i := bytes.LastIndexAny(data, "\r\n"); i >= 0 {
+		return len(data) - i - 1
+	}
+	return n + len(data)
+}
+
 func (e *exchange) writeStream(resp *http.Response, out []byte, flusher *http.ResponseController) {
 	if !e.headerWritten {
 		e.timeToFirstEvent = e.p.cfg.Clock().Sub(e.sentAt)
