mpproxy: Do not blame an upstream when its caller disconnects

An upstream that was sending when its caller left was avoided for 0.4 s and more, and its other requests went to upstreams that hold less of their prompts. The read that the caller's leaving cancels was counted as the upstream's fault; only a cancelled wait for the head was not.

All losses of a connection are now judged by one function. TestUpstreamIsNotBlamedForItsCaller failed before in both cases, a body and a stream.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -172,10 +172,7 @@
 	resp, err := e.p.cfg.Transport.RoundTrip(req)
 	e.timeToHeader = e.p.cfg.Clock().Sub(e.sentAt)
 	if err != nil {
-		outcome := mpselect.Failed
-		if errors.Is(ctx.Err(), context.Canceled) && !timerFired(idleTimer) {
-			outcome = mpselect.Neutral
-		}
+		outcome := outcomeOfLoss(ctx, idleTimer)
 		if !connected {
 			return refused, outcome, "connect: " + err.Error()
 		}
@@ -191,9 +188,18 @@
 	case d.NotRun(resp.StatusCode, resp.Header):
 		return refused, mpselect.Refused, "not run: " + resp.Status
 	case e.route.Spec().Kind == mproute.Stream && resp.StatusCode == http.StatusOK:
-		return e.forwardStream(resp, idleTimer, last)
+		return e.forwardStream(ctx, resp, idleTimer, last)
+	}
+	return e.forwardBuffered(ctx, resp, idleTimer, last)
+}
+
+// outcomeOfLoss returns the outcome of an attempt whose connection was lost. The upstream
+// is not to blame if the caller has disconnected.
+func outcomeOfLoss(ctx context.Context, idleTimer *time.Timer) mpselect.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) && !timerFired(idleTimer) {
+		return mpselect.Neutral
 	}
-	return e.forwardBuffered(resp, last)
+	return mpselect.Failed
 }
 
 func timerFired(t *time.Timer) bool { return !t.Stop() }
@@ -238,13 +244,15 @@
 
 // forwardBuffered reads the whole response before forwarding it. A truncated
 // response can then be replaced by another attempt or an error status.
-func (e *exchange) forwardBuffered(resp *http.Response, last bool) (attemptResult, mpselect.Outcome, string) {
+func (e *exchange) forwardBuffered(
+	ctx context.Context, resp *http.Response, idleTimer *time.Timer, last bool,
+) (attemptResult, mpselect.Outcome, string) {
 	if resp.ContentLength > maxResponseBytes {
 		return failed, mpselect.Failed, "response body too large"
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
-		return failed, mpselect.Failed, "read response body: " + err.Error()
+		return failed, outcomeOfLoss(ctx, idleTimer), "read response body: " + err.Error()
 	}
 	if len(body) > maxResponseBytes {
 		return failed, mpselect.Failed, "response body too large"
@@ -289,7 +297,9 @@
 
 // forwardStream forwards events as they arrive. A resumable stream is forwarded in
 // complete events only, so that another upstream can continue after the last one.
-func (e *exchange) forwardStream(resp *http.Response, idleTimer *time.Timer, last bool) (attemptResult, mpselect.Outcome, string) {
+func (e *exchange) forwardStream(
+	ctx context.Context, resp *http.Response, idleTimer *time.Timer, last bool,
+) (attemptResult, mpselect.Outcome, string) {
 	flusher := http.NewResponseController(e.w)
 	var splitter eventSplitter
 	buf := make([]byte, 8<<10)
@@ -324,7 +334,7 @@
 			e.writeStream(resp, splitter.remainder(), flusher)
 			return answered, mpselect.Succeeded, ""
 		default:
-			return failed, mpselect.Failed, "stream broke off: " + err.Error()
+			return failed, outcomeOfLoss(ctx, idleTimer), "stream broke off: " + err.Error()
 		}
 	}
 }
--- a/core/request/mpproxy/endless_test.go
+++ b/core/request/mpproxy/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -197,3 +199,25 @@
 		})
 	}
 }
+
+// Guards against blaming an upstream for a caller that has left: it was avoided though it
+// had done nothing wrong.
+func TestUpstreamIsNotBlamedForItsCaller(t *testing.T) {
+	for name, c := range map[string]struct{ path, prefix string }{
+		"body":   {"/read/", "HTTP/1.1 200 OK\r\n\r\n"},
+		"stream": {"/tale/", "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := endlessUpstream{prefix: c.prefix, repeat: "z", gap: 20 * time.Millisecond}
+			r := newEndlessHarness(t, u.start(t), startWhole(t, events))
+			ctx, cancel := context.WithCancelCause(t.Context())
+			time.AfterFunc(200*time.Millisecond, func() { cancel(errors.New("caller left")) })
+			r.serve(ctx, request(c.path))
+			row, _ := r.p.cfg.Selector.Pick(time.Now(), r.p.candidates(r.p.cfg.State.Table().Pool("app")), mpselect.PickInfo{Work: 1, DC: "a"})
+			if row.ID != "u1" {
+				t.Errorf("the next request goes to %s", row.ID)
+			}
+		})
+	}
+}
