mpbatch: Count the results of an upstream that comes back

Pieces were refused for lack of memory at upstreams that had left the list and come back, or had been moved to another owner: what was known of the upstream was dropped with its row, while its results stayed on record, so its memory counted as empty, and as less than empty once they were freed. A row that returns now begins with the results on record. Found by reading, while looking for what else goes wrong when upstreams change owners; TestResultsCountWhenTheirUpstreamComesBack failed before (0 bytes instead of 3,000,000, then -3,000,000) and passes.

--- a/core/request/mpbatch/batcher.go
+++ b/core/request/mpbatch/batcher.go
@@ -68,7 +68,7 @@
 	for _, upstream := range list {
 		s, ok := b.upstreamsByID[upstream.ID]
 		if !ok {
-			s = &upstreamState{slowdown: 1}
+			s = &upstreamState{slowdown: 1, usedBytes: b.storedBytes(upstream.ID)}
 			b.upstreamsByID[upstream.ID] = s
 		}
 		s.upstream = upstream
--- a/core/request/mpbatch/memory_test.go
+++ b/core/request/mpbatch/memory_test.go
@@ -138,3 +138,31 @@
 		})
 	}
 }
+
+// Guards against forgetting the results of an upstream that leaves the list and comes back,
+// or moves to another owner and back: its memory counted as free, and then as less than
+// empty, so that it was filled beyond its size and refused pieces.
+func TestResultsCountWhenTheirUpstreamComesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	u := Upstream{ID: "u1", DC: "a"}
+	b := New(Config{Spec: spec()})
+	b.SetUpstreams([]Upstream{u})
+	at := now.Add(time.Minute)
+	if _, err := b.Add(now, JobSpec{Request: "r", Count: 1, ResultBytes: 3_000_000, SoftDeadline: at, Deadline: at}); err != nil {
+		t.Fatal(err)
+	}
+	calls := b.Next(now)
+	b.Finish(now, calls[0].ID, Outcome{Items: []ItemOutcome{{Handle: "h"}}})
+	b.SetUpstreams(nil)
+	b.SetUpstreams([]Upstream{u})
+	checkUsed(t, b, "u1", 3_000_000)
+	b.ConfirmFreed([]string{"h"})
+	checkUsed(t, b, "u1", 0)
+}
+
+func checkUsed(t *testing.T, b *Batcher, id string, want int) {
+	t.Helper()
+	if got := b.upstreamsByID[id].usedBytes; got != want {
+		t.Errorf("%d bytes of %s are used, want %d", got, id, want)
+	}
+}
--- a/core/request/mpbatch/results.go
+++ b/core/request/mpbatch/results.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// storedBytes returns the size of the results that an upstream holds.
+func (b *Batcher) storedBytes(upstreamID string) int {
+	n := 0
+	for _, result := range b.results {
+		if result.upstreamID == upstreamID {
+			n += result.bytes
+		}
+	}
+	return n
+}
+
 // TakePendingFrees returns and clears the handles of results to free. The caller calls
 // ConfirmFreed once the upstreams have been told.
 func (b *Batcher) TakePendingFrees() []string {
