mpupstream: Bound refusals in time and streams in bytes

The body of a refusal is read for 50 ms at most, then its connection is closed; a stream has a limit of 16 MiB, four times that of its text, and is a bad response beyond it. TestRefusalWithSlowBody failed before at its deadline of 1 s, and 'comments without end' of TestStream did not end; both pass.

--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -29,11 +29,14 @@
 	// DeadlineHeader carries the time left until the deadline, in ms.
 	DeadlineHeader = "Mustardpost-Left"
 
-	dialTimeout            = 500 * time.Millisecond
-	maxIdleConnsPerHost    = 64
-	idleConnTimeout        = 30 * time.Second
-	maxResponseBytes       = 8 << 20
-	maxErrorBodyBytes      = 4 << 10
+	dialTimeout         = 500 * time.Millisecond
+	maxIdleConnsPerHost = 64
+	idleConnTimeout     = 30 * time.Second
+	maxResponseBytes    = 8 << 20
+	maxErrorBodyBytes   = 4 << 10
+	// drainTimeout limits how long the body of a refusal is read so that its connection
+	// can be reused.
+	drainTimeout           = 50 * time.Millisecond
 	maxResponseHeaderBytes = 32 << 10
 )
 
@@ -157,13 +160,21 @@
 		return nil, sent, newFailure(ctx, sent.Load(), err)
 	}
 	if fail := checkResponseHead(resp, call); fail != nil {
-		_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBodyBytes)
-		_ = resp.Body.Close()
+		drain(resp.Body)
 		return nil, sent, fail
 	}
 	return resp, sent, nil
 }
 
+// drain reads the rest of a short body and closes it. The connection of a longer or slower
+// one is closed.
+func drain(body io.ReadCloser) {
+	timeout := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timeout.Stop()
+	_, _ = io.CopyN(io.Discard, body, maxErrorBodyBytes)
+	_ = body.Close()
+}
+
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	url := "http://" + call.Address + call.Path
 	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
--- a/core/connection/mpupstream/mpupstream_test.go
+++ b/core/connection/mpupstream/mpupstream_test.go
@@ -60,6 +60,13 @@
 			}
 		}
 	}
+	comments := func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, strings.Repeat(":\n", 16<<10)); err != nil {
+				return
+			}
+		}
+	}
 	write := func(text string) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
 	}
@@ -74,6 +81,7 @@
 		{"broken event", write("data: {\n\n" + closingEvent), mperror.ErrBadResponse},
 		{"event above the size limit", write("data: " + strings.Repeat("x", 2*maxEventBytes)), mperror.ErrBadResponse},
 		{"endless stream", endless, mperror.ErrBadResponse},
+		{"comments without end", comments, mperror.ErrBadResponse},
 		{"connection lost in the middle of the stream", func(w http.ResponseWriter, _ *http.Request) {
 			hijack(w, "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n"+textEvents)
 		}, mperror.ErrConnectionLost},
@@ -99,6 +107,28 @@
 	}
 }
 
+// Guards against a refusal whose body drips without end: the request could not go on at
+// another upstream before its deadline.
+func TestRefusalWithSlowBody(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, "z"); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+			<-time.After(10 * time.Millisecond)
+		}
+	})
+	_, f := New().Do(ctx, call(address))
+	checkFailure(t, f, mperror.ErrFull, true)
+	if err := ctx.Err(); err != nil {
+		t.Errorf("the refusal was reported after the deadline: %v", err)
+	}
+}
+
 func TestDo(t *testing.T) {
 	t.Run("response to another attempt", func(t *testing.T) {
 		c := call(serve(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/core/connection/mpupstream/stream.go
+++ b/core/connection/mpupstream/stream.go
@@ -15,7 +15,9 @@
 const (
 	maxEventBytes = 64 << 10
 	maxTextBytes  = 4 << 20
-	doneEvent     = "[DONE]"
+	// maxStreamBytes allows for the encoding of the text.
+	maxStreamBytes = 4 * maxTextBytes
+	doneEvent      = "[DONE]"
 )
 
 // Usage is the token usage that an engine reports for a response.
@@ -68,7 +70,8 @@
 	var usage Usage
 	finished := false
 	length := 0
-	scanner := bufio.NewScanner(body)
+	limited := &io.LimitedReader{R: body, N: maxStreamBytes}
+	scanner := bufio.NewScanner(limited)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	for scanner.Scan() {
 		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
@@ -107,6 +110,8 @@
 		return usage, mperror.Wrap(mperror.ErrBadResponse, "event longer than %d bytes", maxEventBytes)
 	case err != nil:
 		return usage, err
+	case limited.N == 0:
+		return usage, mperror.Wrap(mperror.ErrBadResponse, "stream longer than %d bytes", maxStreamBytes)
 	}
 	return usage, io.ErrUnexpectedEOF
 }
