mpstage: Divide large pools into shards with an owner each

Callers of the grown ladder's least urgent kind were answered late: their median was the 1.5 s that they aim at, so each delay on the way made many late.

Cause: all pieces of a pool passed through one VM, whatever the size of the deployment, while the load of a pool grows with it. The usage lines show the owners of the three pools at up to 0.19 of their 0.192 cores for seconds and the last stage's owner at three quarters of its 10 Mbit/s, other entries at a tenth of that; a call of the last stage took 233 + 2.7 ms a piece, and 161 + 2.9 ms where entries had 1,000 Mbit/s and 0.8 of a core.

A pool now has one shard for about each 32 VMs that serve callers, rounded to a power of two so that the count survives the loss of some VMs, with two upstreams a shard at least, of each data centre. The request's id picks the shard, whose name ranks the VMs as owners. A VM of an earlier version names no shard and means the whole pool. Deployments of up to 45 VMs have one shard, as before.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -146,7 +146,7 @@
 		Client: cfg.BatchClient, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
-		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Logger: cfg.Logger, Clock: time.Now,
+		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.proxy = mpproxy.New(mpproxy.Config{
 		DC:            cfg.DC,
@@ -199,7 +199,7 @@
 
 // Free releases results that are no longer needed.
 func (p peer) Free(_ context.Context, r *mpwire.FreeRequest) (*mpwire.FreeReply, error) {
-	p.gateway.owner.Free(r.GetPool(), r.GetHandles())
+	p.gateway.owner.ServeFree(r)
 	return &mpwire.FreeReply{}, nil
 }
 
--- a/core/process/mplog/timeline.go
+++ b/core/process/mplog/timeline.go
@@ -145,14 +145,15 @@
 			continue
 		}
 		for call := range strings.SplitSeq(l.Get("calls"), ",") {
-			i := slices.IndexFunc(calls, func(c Line) bool {
-				return c.VM == l.VM && c.Get("pool") == l.Get("pool") && c.Get("call") == call
-			})
+			matches := func(c Line) bool {
+				return c.Msg == "batch" && c.VM == l.VM && c.Get("pool") == l.Get("pool") && c.Get("shard") == l.Get("shard") && c.Get("call") == call
+			}
+			i := slices.IndexFunc(calls, matches)
 			switch {
 			case call == "":
 			case i < 0:
 				t.Gaps = append(t.Gaps, fmt.Sprintf("no line for call %s to pool %s by %s: the call had not finished, or its line was lost", call, l.Get("pool"), l.VM))
-			case !slices.ContainsFunc(t.Lines, func(o Line) bool { return o.Msg == "batch" && o.VM == l.VM && o.Get("call") == call }):
+			case !slices.ContainsFunc(t.Lines, matches):
 				t.Lines = append(t.Lines, calls[i])
 			}
 		}
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -1,6 +1,7 @@
-// Package mpstage runs the pieces of stages. Each pool of upstreams that make pieces
-// has one owner among the VMs, which batches the pieces of all requests; the other VMs
-// forward theirs to it. Owners are chosen without consensus: making a piece twice is
+// Package mpstage runs the pieces of stages. Each pool of upstreams that make pieces is
+// divided into shards, as many as the number of VMs calls for. Each shard has one owner
+// among the VMs, which batches the pieces of its requests; the other VMs forward theirs
+// to it. Owners are chosen without consensus: making a piece twice is
 // safe, so two concurrent owners only cost extra work, and an owner that does not
 // respond is skipped.
 package mpstage
@@ -49,7 +50,7 @@
 	Clock   func() time.Time
 }
 
-// Owner batches the pieces of the pools that this VM owns.
+// Owner batches the pieces of the shards that this VM owns.
 type Owner struct {
 	cfg OwnerConfig
 	ctx context.Context
@@ -57,15 +58,15 @@
 	summaries *mplog.Summarizer
 
 	mu     sync.Mutex
-	queues map[string]*poolQueue
+	queues map[shard]*shardQueue
 	table  *mproute.Table
 	usable *mplist.Usable
 }
 
-// poolQueue is the batcher of one pool and the lock that guards it.
-type poolQueue struct {
+// shardQueue is the batcher of one shard and the lock that guards it.
+type shardQueue struct {
 	owner  *Owner
-	pool   string
+	shard  shard
 	wakeup chan struct{}
 
 	mu      sync.Mutex
@@ -76,7 +77,7 @@
 
 // NewOwner returns an Owner whose goroutines stop when ctx is done.
 func NewOwner(ctx context.Context, cfg OwnerConfig) *Owner {
-	return &Owner{cfg: cfg, ctx: ctx, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgStagesRefused), queues: map[string]*poolQueue{}}
+	return &Owner{cfg: cfg, ctx: ctx, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgStagesRefused), queues: map[shard]*shardQueue{}}
 }
 
 // Update replaces the plan and the upstreams that may get calls.
@@ -84,47 +85,47 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table, o.usable = table, usable
-	for pool, q := range o.queues {
-		o.refresh(q, pool)
+	for _, q := range o.queues {
+		o.refresh(q)
 	}
 }
 
-func (o *Owner) refresh(q *poolQueue, pool string) {
-	p := o.table.Pool(pool)
+func (o *Owner) refresh(q *shardQueue) {
+	p := o.table.Pool(q.shard.pool)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if p != nil && p.Spec().Batch != nil {
 		q.batcher.SetSpec(*p.Spec().Batch)
 	}
 	var upstreams []mpbatch.Upstream
-	for _, r := range o.usable.Rows(pool) {
+	for _, r := range q.shard.upstreams(o.usable.Rows(q.shard.pool)) {
 		upstreams = append(upstreams, mpbatch.Upstream{ID: r.ID, Address: r.Address, DC: r.DC})
 	}
 	q.batcher.SetUpstreams(upstreams)
 	q.wake()
 }
 
-func (o *Owner) queue(pool string) (*poolQueue, error) {
+func (o *Owner) queue(s shard) (*shardQueue, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if q, ok := o.queues[pool]; ok {
+	if q, ok := o.queues[s]; ok {
 		return q, nil
 	}
-	if o.table == nil || o.table.Pool(pool) == nil || o.table.Pool(pool).Spec().Batch == nil {
-		return nil, mperror.Wrap(mperror.ErrNotFound, "pool %s", pool)
+	if o.table == nil || o.table.Pool(s.pool) == nil || o.table.Pool(s.pool).Spec().Batch == nil {
+		return nil, mperror.Wrap(mperror.ErrNotFound, "pool %s", s.pool)
 	}
-	spec := *o.table.Pool(pool).Spec().Batch
-	q := &poolQueue{owner: o, pool: pool, wakeup: make(chan struct{}, 1), batcher: mpbatch.New(mpbatch.Config{Spec: spec})}
-	o.queues[pool] = q
-	o.refresh(q, pool)
+	spec := *o.table.Pool(s.pool).Spec().Batch
+	q := &shardQueue{owner: o, shard: s, wakeup: make(chan struct{}, 1), batcher: mpbatch.New(mpbatch.Config{Spec: spec})}
+	o.queues[s] = q
+	o.refresh(q)
 	go q.run()
 	return q, nil
 }
 
 // Make queues a job and returns its results once all of them are made. The job is
 // cancelled when ctx is done.
-func (o *Owner) Make(ctx context.Context, pool string, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
-	q, err := o.queue(pool)
+func (o *Owner) Make(ctx context.Context, s shard, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
+	q, err := o.queue(s)
 	if err != nil {
 		return nil, err
 	}
@@ -133,10 +134,10 @@
 	j, err := q.batcher.Add(start, spec)
 	q.mu.Unlock()
 	if err != nil {
-		if !o.summaries.ShouldLog("pool "+pool, spec.Request) {
+		if !o.summaries.ShouldLog("pool "+s.pool, spec.Request) {
 			return nil, err
 		}
-		_ = level.Info(o.cfg.Logger).Log("msg", "stage refused", "id", spec.Request, "pool", pool, "stage", spec.Stage, "err", err)
+		_ = level.Info(o.cfg.Logger).Log("msg", "stage refused", "id", spec.Request, "pool", s.pool, "shard", s, "stage", spec.Stage, "err", err)
 		return nil, err
 	}
 	q.wake()
@@ -152,7 +153,7 @@
 	results, err := j.Results()
 	o.cfg.Metrics.ObserveDuration("stage", o.cfg.Clock().Sub(start))
 	first, last := j.Waits()
-	_ = level.Info(o.cfg.Logger).Log("msg", "stage", "id", spec.Request, "pool", pool, "stage", spec.Stage, "pieces", spec.Count,
+	_ = level.Info(o.cfg.Logger).Log("msg", "stage", "id", spec.Request, "pool", s.pool, "shard", s, "stage", spec.Stage, "pieces", spec.Count,
 		"priority", spec.Priority, "first", first, "last", last, "took", o.cfg.Clock().Sub(start), "calls", formatCallIDs(j.Calls()), "err", err)
 	return results, err
 }
@@ -165,11 +166,11 @@
 	return strings.Join(words, ",")
 }
 
-// Free marks results of pool as no longer needed, whichever owner had them made.
-func (o *Owner) Free(pool string, handles []string) {
-	q, err := o.queue(pool)
+// Free marks results of s as no longer needed, whichever owner had them made.
+func (o *Owner) Free(s shard, handles []string) {
+	q, err := o.queue(s)
 	if err != nil {
-		_ = level.Warn(o.cfg.Logger).Log("msg", "results not freed", "pool", pool, "results", len(handles), "err", err)
+		_ = level.Warn(o.cfg.Logger).Log("msg", "results not freed", "pool", s.pool, "results", len(handles), "err", err)
 		return
 	}
 	q.mu.Lock()
@@ -178,9 +179,9 @@
 	q.wake()
 }
 
-// Backlog returns how long a new piece would wait in the queue of pool.
-func (o *Owner) Backlog(now time.Time, pool string, priority int) time.Duration {
-	q, err := o.queue(pool)
+// Backlog returns how long a new piece would wait in the queue of s.
+func (o *Owner) Backlog(now time.Time, s shard, priority int) time.Duration {
+	q, err := o.queue(s)
 	if err != nil {
 		return 0 // The plan has no such pool, so nothing is queued.
 	}
@@ -189,6 +190,8 @@
 	return q.batcher.Backlog(now, priority)
 }
 
+func (o *Owner) addressOf(handle string) string { return o.cfg.Client.AddressOf(handle) }
+
 // Waiting returns the number of pieces in all queues of this VM.
 func (o *Owner) Waiting() int {
 	o.mu.Lock()
@@ -202,7 +205,7 @@
 	return n
 }
 
-func (q *poolQueue) wake() {
+func (q *shardQueue) wake() {
 	select {
 	case q.wakeup <- struct{}{}:
 	default:
@@ -211,7 +214,7 @@
 
 // run starts the calls that are due and schedules freeing, after each wake-up and
 // when the batcher's timer expires.
-func (q *poolQueue) run() {
+func (q *shardQueue) run() {
 	wait := time.NewTimer(time.Hour)
 	defer wait.Stop()
 	for {
@@ -239,7 +242,7 @@
 	}
 }
 
-func (q *poolQueue) call(c mpbatch.Call) {
+func (q *shardQueue) call(c mpbatch.Call) {
 	start := q.owner.cfg.Clock()
 	ctx, cancel := context.WithTimeout(q.owner.ctx, c.Timeout)
 	defer cancel()
@@ -248,7 +251,7 @@
 	q.owner.cfg.Metrics.Add("batch.calls", 1)
 	q.owner.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	q.owner.cfg.Metrics.ObserveDuration("batch", now.Sub(start))
-	_ = level.Info(q.owner.cfg.Logger).Log("msg", "batch", "pool", q.pool, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
+	_ = level.Info(q.owner.cfg.Logger).Log("msg", "batch", "pool", q.shard.pool, "shard", q.shard, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
 		"expected", c.Expected, "took", now.Sub(start), "ending", out.Status, "missing", failureReasons(out.Items), "err", out.Err)
 	q.mu.Lock()
 	q.batcher.Finish(now, c.ID, out)
@@ -268,7 +271,7 @@
 }
 
 // flushFrees tells upstreams to free the results that are no longer needed.
-func (q *poolQueue) flushFrees() {
+func (q *shardQueue) flushFrees() {
 	q.freeScheduled.Store(false)
 	q.mu.Lock()
 	handles := q.batcher.TakePendingFrees()
@@ -286,11 +289,11 @@
 // freeResults tells one upstream to free results. If that fails, they count as used
 // memory until the upstream drops them by itself; other upstreams are not affected,
 // since each has its own call.
-func (q *poolQueue) freeResults(address string, handles []string) {
+func (q *shardQueue) freeResults(address string, handles []string) {
 	ctx, cancel := context.WithTimeout(q.owner.ctx, freeTimeout)
 	defer cancel()
 	if err := q.owner.cfg.Client.Free(ctx, address, handles); err != nil {
-		_ = level.Warn(q.owner.cfg.Logger).Log("msg", "results not freed", "pool", q.pool, "maker", address, "results", len(handles), "err", err)
+		_ = level.Warn(q.owner.cfg.Logger).Log("msg", "results not freed", "pool", q.shard.pool, "maker", address, "results", len(handles), "err", err)
 		return
 	}
 	q.mu.Lock()
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -110,7 +110,7 @@
 		defer cancel()
 		m := &fakeClient{failures: 1, freed: map[string]bool{}}
 		o := newTwoStageOwner(ctx, t, m)
-		first, err := o.Make(ctx, "first", newSpec(time.Now(), 0, nil))
+		first, err := o.Make(ctx, whole("first"), newSpec(time.Now(), 0, nil))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -118,14 +118,14 @@
 		for _, r := range first {
 			inputs = append(inputs, r.Handle)
 		}
-		second, err := o.Make(ctx, "second", newSpec(time.Now(), 1, inputs))
+		second, err := o.Make(ctx, whole("second"), newSpec(time.Now(), 1, inputs))
 		if err != nil {
 			t.Fatalf("second stage: %v", err)
 		}
 		if diff := cmp.Diff(8, len(second)); diff != "" {
 			t.Errorf("results (-want +got):\n%s", diff)
 		}
-		o.Free("first", inputs)
+		o.Free(whole("first"), inputs)
 		<-time.After(time.Second)
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -147,7 +147,7 @@
 		// Two requests fill both upstreams.
 		var handles []string
 		for range 2 {
-			made, err := o.Make(ctx, "first", newSpec(time.Now(), 0, nil))
+			made, err := o.Make(ctx, whole("first"), newSpec(time.Now(), 0, nil))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -155,9 +155,9 @@
 				handles = append(handles, r.Handle)
 			}
 		}
-		o.Free("first", handles)
+		o.Free(whole("first"), handles)
 		start := time.Now()
-		if _, err := o.Make(ctx, "first", newSpec(start, 0, nil)); err != nil {
+		if _, err := o.Make(ctx, whole("first"), newSpec(start, 0, nil)); err != nil {
 			t.Fatal(err)
 		}
 		if took := time.Since(start); took > time.Second {
@@ -165,3 +165,6 @@
 		}
 	})
 }
+
+// whole returns the only shard of a pool that is not divided.
+func whole(pool string) shard { return shard{pool: pool, count: 1} }
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -15,6 +16,7 @@
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -44,11 +46,13 @@
 	Local  *Owner
 	Client *mppeer.Client
 	View   func() *mpview.View
+	// Usable returns the upstreams that may get new work.
+	Usable func() *mplist.Usable
 	Logger log.Logger
 	Clock  func() time.Time
 }
 
-// Router sends jobs to the owner of their pool. It is safe for concurrent use.
+// Router sends jobs to the owners of the shards of their pool. It is safe for concurrent use.
 type Router struct {
 	cfg RouterConfig
 
@@ -74,10 +78,9 @@
 	return &Router{cfg: cfg, unresponsiveUntil: map[string]time.Time{}, backlogs: map[backlogKey]backlogReport{}}
 }
 
-// owners returns the candidate owners of pool in order of preference: the VMs that
+// owners returns the candidate owners of s in order of preference: the VMs that
 // serve callers in rendezvous order, with unresponsive ones last.
-func (r *Router) owners(now time.Time, pool string) []mpview.VM {
-	view := r.cfg.View()
+func (r *Router) owners(now time.Time, view *mpview.View, s shard) []mpview.VM {
 	var names []string
 	for _, vm := range view.Serving() {
 		names = append(names, vm.Name)
@@ -85,7 +88,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out, unresponsive []mpview.VM
-	for _, name := range mprank.OfName(pool, names) {
+	for _, name := range mprank.OfName(s.rankKey(), names) {
 		vm, _ := view.VM(name)
 		if now.Before(r.unresponsiveUntil[name]) {
 			unresponsive = append(unresponsive, vm)
@@ -123,37 +126,40 @@
 }
 
 // makeLocal runs the job in this VM's own queue.
-func (r *Router) makeLocal(ctx context.Context, pool string, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
-	results, err := r.cfg.Local.Make(ctx, pool, spec)
+func (r *Router) makeLocal(ctx context.Context, s shard, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
+	results, err := r.cfg.Local.Make(ctx, s, spec)
 	now := r.cfg.Clock()
-	r.recordBacklog(now, pool, spec.Priority, r.cfg.Local.Backlog(now, pool, spec.Priority))
+	r.recordBacklog(now, s.pool, spec.Priority, r.cfg.Local.Backlog(now, s, spec.Priority))
 	return results, err
 }
 
-// Make runs the job at the owner of pool, or at the next candidate when the owner does
-// not answer, and returns its results.
+// Make runs the job in a shard of pool, at its owner or at the next candidate when the
+// owner does not answer, and returns its results.
 func (r *Router) Make(ctx context.Context, pool string, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
+	view := r.cfg.View()
+	count := shardCount(len(view.Serving()), len(r.cfg.Usable().Rows(pool)))
+	s := shard{pool: pool, number: int(xxhash.Sum64String(spec.Request) % uint64(count)), count: count}
 	err := mperror.Wrap(mperror.ErrNoUpstream, "no VM owns pool %s", pool)
-	owners := r.owners(r.cfg.Clock(), pool)
+	owners := r.owners(r.cfg.Clock(), view, s)
 	if len(owners) == 0 {
-		return r.makeLocal(ctx, pool, spec)
+		return r.makeLocal(ctx, s, spec)
 	}
 	for _, vm := range owners[:min(len(owners), maxOwners)] {
 		if vm.Name == r.cfg.VM {
-			return r.makeLocal(ctx, pool, spec)
+			return r.makeLocal(ctx, s, spec)
 		}
 		var results []mpbatch.Result
-		results, err = r.makeRemote(ctx, vm, pool, spec)
+		results, err = r.makeRemote(ctx, vm, s, spec)
 		if !errors.Is(err, mperror.ErrOutcomeUnknown) || ctx.Err() != nil {
 			return results, err
 		}
 		r.markUnresponsive(r.cfg.Clock(), vm.Name)
-		_ = level.Warn(r.cfg.Logger).Log("msg", "owner passed over", "pool", pool, "vm", vm.Name, "id", spec.Request, "err", err)
+		_ = level.Warn(r.cfg.Logger).Log("msg", "owner passed over", "pool", pool, "shard", s, "vm", vm.Name, "id", spec.Request, "err", err)
 	}
 	return nil, err
 }
 
-func (r *Router) makeRemote(ctx context.Context, vm mpview.VM, pool string, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
+func (r *Router) makeRemote(ctx context.Context, vm mpview.VM, s shard, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
 	peer, err := r.cfg.Client.Stub(vm.Peer)
 	if err != nil {
 		return nil, mperror.Wrap(mperror.ErrOutcomeUnknown, "%v", err)
@@ -161,14 +167,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go r.probeOwner(ctx, peer, cancel)
-	reply, err := peer.Make(ctx, encodeRequest(r.cfg.Clock(), pool, spec))
+	reply, err := peer.Make(ctx, encodeRequest(r.cfg.Clock(), s, spec))
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errOwnerUnresponsive) {
 			return nil, errOwnerUnresponsive
 		}
 		return nil, mperror.Wrap(mperror.ErrOutcomeUnknown, "%v", err)
 	}
-	r.recordBacklog(r.cfg.Clock(), pool, spec.Priority, mptime.FromMillis(reply.GetWaitMs()))
+	r.recordBacklog(r.cfg.Clock(), s.pool, spec.Priority, mptime.FromMillis(reply.GetWaitMs()))
 	return decodeReply(reply, spec.Stage)
 }
 
@@ -189,12 +195,31 @@
 	})
 }
 
-// Free tells the owner of pool that results are no longer needed. If the owner cannot
-// be told, this VM frees them itself.
+// Free tells the owners of pool that results are no longer needed. This VM frees those
+// whose owner cannot be told.
 func (r *Router) Free(pool string, handles []string) {
-	owners := r.owners(r.cfg.Clock(), pool)
+	view := r.cfg.View()
+	rows := r.cfg.Usable().Rows(pool)
+	count := shardCount(len(view.Serving()), len(rows))
+	numberByAddress := map[string]int{}
+	for row, number := range assign(rows, count) {
+		numberByAddress[row.Address] = number
+	}
+	byShard := map[shard][]string{}
+	for _, h := range handles {
+		// The results of an upstream that is no longer usable count at no owner.
+		s := shard{pool: pool, number: numberByAddress[r.cfg.Local.addressOf(h)], count: count}
+		byShard[s] = append(byShard[s], h)
+	}
+	for s, list := range byShard {
+		r.freeAt(view, s, list)
+	}
+}
+
+func (r *Router) freeAt(view *mpview.View, s shard, handles []string) {
+	owners := r.owners(r.cfg.Clock(), view, s)
 	if len(owners) == 0 || owners[0].Name == r.cfg.VM {
-		r.cfg.Local.Free(pool, handles)
+		r.cfg.Local.Free(s, handles)
 		return
 	}
 	go func() {
@@ -202,18 +227,18 @@
 		defer cancel()
 		peer, err := r.cfg.Client.Stub(owners[0].Peer)
 		if err == nil {
-			_, err = peer.Free(ctx, &mpwire.FreeRequest{Pool: pool, Handles: handles})
+			_, err = peer.Free(ctx, &mpwire.FreeRequest{Pool: s.pool, Handles: handles, Shard: uint32(s.number), Shards: uint32(s.count)})
 		}
 		if err != nil {
-			_ = level.Warn(r.cfg.Logger).Log("msg", "results freed here", "pool", pool, "owner", owners[0].Name, "err", err)
-			r.cfg.Local.Free(pool, handles)
+			_ = level.Warn(r.cfg.Logger).Log("msg", "results freed here", "pool", s.pool, "owner", owners[0].Name, "err", err)
+			r.cfg.Local.Free(s, handles)
 		}
 	}()
 }
 
-func encodeRequest(now time.Time, pool string, spec mpbatch.JobSpec) *mpwire.MakeRequest {
+func encodeRequest(now time.Time, s shard, spec mpbatch.JobSpec) *mpwire.MakeRequest {
 	return &mpwire.MakeRequest{
-		Pool:     pool,
+		Pool:     s.pool,
 		Request:  spec.Request,
 		Stage:    uint32(spec.Stage),
 		Pieces:   uint32(spec.Count),
@@ -225,13 +250,16 @@
 		AimMs:    mptime.Millis(spec.SoftDeadline.Sub(now)),
 		Dc:       spec.DC,
 		Far:      uint32(spec.CrossDCBytes),
+		Shard:    uint32(s.number),
+		Shards:   uint32(s.count),
 	}
 }
 
 // Serve handles a Make call from another VM.
 func (o *Owner) Serve(ctx context.Context, r *mpwire.MakeRequest) *mpwire.MakeReply {
 	now := o.cfg.Clock()
-	results, err := o.Make(ctx, r.GetPool(), mpbatch.JobSpec{
+	s := decodeShard(r.GetPool(), r.GetShard(), r.GetShards())
+	results, err := o.Make(ctx, s, mpbatch.JobSpec{
 		Request:      r.GetRequest(),
 		Stage:        int(r.GetStage()),
 		Count:        int(r.GetPieces()),
@@ -244,7 +272,7 @@
 		DC:           r.GetDc(),
 		CrossDCBytes: int(r.GetFar()),
 	})
-	reply := &mpwire.MakeReply{WaitMs: mptime.Millis(o.Backlog(o.cfg.Clock(), r.GetPool(), int(r.GetPriority())))}
+	reply := &mpwire.MakeReply{WaitMs: mptime.Millis(o.Backlog(o.cfg.Clock(), s, int(r.GetPriority())))}
 	for _, result := range results {
 		reply.Handles = append(reply.Handles, result.Handle)
 		reply.Dcs = append(reply.Dcs, result.DC)
@@ -267,6 +295,20 @@
 	return reply
 }
 
+// ServeFree handles a Free call from another VM.
+func (o *Owner) ServeFree(r *mpwire.FreeRequest) {
+	o.Free(decodeShard(r.GetPool(), r.GetShard(), r.GetShards()), r.GetHandles())
+}
+
+// decodeShard returns the shard that a message names. A VM of an earlier version names
+// none, and means the whole pool.
+func decodeShard(pool string, number, count uint32) shard {
+	if count == 0 {
+		return shard{pool: pool, count: 1}
+	}
+	return shard{pool: pool, number: int(number % count), count: int(count)}
+}
+
 func decodeReply(r *mpwire.MakeReply, stage int) ([]mpbatch.Result, error) {
 	switch r.GetCause() {
 	case mpwire.MakeReply_MADE:
