--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -87,8 +87,9 @@
 	// DecodePlan returns the routing table of a published plan.
 	DecodePlan func(mpview.Routing) (*mproute.Table, error)
 	Transport  http.RoundTripper
-	Metrics    *mpmetric.Set
-	Logger     log.Logger
+	// Metrics is the set to which the gateway adds the metrics of the process.
+	Metrics *mpmetric.Set
+	Logger  log.Logger
 }
 
 // Gateway is the process of one VM.
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -1,9 +1,8 @@
 // Package mpstage runs the pieces of stages. Each pool of upstreams that make pieces is
 // divided into shards, as many as the number of VMs calls for. Each shard has one owner
 // among the VMs, which batches the pieces of its requests; the other VMs forward theirs
-// to it. Owners are chosen without consensus: making a piece twice is
-// safe, so two concurrent owners only cost extra work, and an owner that does not
-// respond is skipped.
+// to it. Owners are chosen without consensus: making a piece twice is safe, so two
+// concurrent owners only cost extra work, and an owner that does not respond is skipped.
 package mpstage
 
 import (
@@ -190,6 +189,7 @@
 	return q.batcher.Backlog(now, priority)
 }
 
+// addressOf returns the address of the upstream that holds a result.
 func (o *Owner) addressOf(handle string) string { return o.cfg.Client.AddressOf(handle) }
 
 // Waiting returns the number of pieces in all queues of this VM.
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -207,7 +207,8 @@
 	}
 	byShard := map[shard][]string{}
 	for _, h := range handles {
-		// The results of an upstream that is no longer usable count at no owner.
+		// Any owner will do for an upstream that is no longer usable: none counts its
+		// results.
 		s := shard{pool: pool, number: numberByAddress[r.cfg.Local.addressOf(h)], count: count}
 		byShard[s] = append(byShard[s], h)
 	}
@@ -216,6 +217,7 @@
 	}
 }
 
+// freeAt tells the owner of s that results are no longer needed, or frees them itself.
 func (r *Router) freeAt(view *mpview.View, s shard, handles []string) {
 	owners := r.owners(r.cfg.Clock(), view, s)
 	if len(owners) == 0 || owners[0].Name == r.cfg.VM {
--- a/core/process/mpstage/shard.go
+++ b/core/process/mpstage/shard.go
@@ -21,9 +21,10 @@
 	minShardUpstreams = 2
 )
 
-// shard identifies a part of a pool that has an owner of its own: part number of count.
+// shard identifies one of the count parts of a pool, each of which has an owner of its own.
 type shard struct {
-	pool          string
+	pool string
+	// number is from 0 to count-1.
 	number, count int
 }
 
@@ -54,8 +55,8 @@
 			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.Address, b.Address))
 		})
 		for j, r := range list {
-			// Each data centre's remainder goes to the shards after those that got the
-			// one before.
+			// Starting at another shard for each data centre spreads the upstreams left
+			// over where count does not divide their number.
 			numbers[r] = (i + j) % count
 		}
 	}
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -55,6 +55,7 @@
 	soonest time.Duration
 }
 
+// capacity returns what the upstreams that are not in a long backoff can do.
 func (b *Batcher) capacity(now time.Time) capacity {
 	c := capacity{soonest: -1}
 	for _, s := range b.upstreams {
@@ -135,9 +136,9 @@
 	}
 }
 
-// shedLate refuses the jobs that will be late after a long wait. A job waits for those in
-// front of it, also for ones that are refused now: the last jobs are refused first, and
-// the wait of the others does not depend on them.
+// shedLate refuses the jobs that will be late after a long wait. A refusal shortens the wait
+// of the jobs behind it, so the last jobs are refused first: each job's wait counts all
+// those in front of it, refused or not.
 func (b *Batcher) shedLate(now time.Time) {
 	b.sortQueue(now)
 	c, ahead := b.capacity(now), 0
