mpstage: Schedule freeing as before

A wake-up without results to free set no timer since, so that results waited the whole 25 ms, where the timer of an earlier wake-up used to free them sooner; memory for results is scarce.

--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -228,7 +228,6 @@
 		q.mu.Lock()
 		calls := q.batcher.Next(now)
 		at := q.batcher.NextWake(now)
-		mustFree := q.batcher.HasPendingFrees()
 		q.mu.Unlock()
 		for _, c := range calls {
 			go q.call(c)
@@ -236,7 +235,7 @@
 		if !at.IsZero() {
 			wait.Reset(max(at.Sub(now), time.Millisecond))
 		}
-		if mustFree && q.freeScheduled.CompareAndSwap(false, true) {
+		if q.freeScheduled.CompareAndSwap(false, true) {
 			time.AfterFunc(freeInterval, q.flushFrees)
 		}
 	}
--- a/core/request/mpbatch/results.go
+++ b/core/request/mpbatch/results.go
@@ -52,7 +52,4 @@
 	return out
 }
 
-// HasPendingFrees reports whether TakePendingFrees would return any handles.
-func (b *Batcher) HasPendingFrees() bool { return len(b.pendingFrees) > 0 }
-
 func isWaiting(p piece) bool { return p.state == waiting }
