mpproxy: Blame an upstream for a stream whose caller left its silence

Since a caller that disconnects is not the upstream's fault. But callers abandon a stream after two seconds of silence, and on streams that may not be resumed that is the first sign of an upstream that has gone dark; it went on getting requests.

The case 'silent stream' of TestUpstreamIsNotBlamedForItsCaller failed before.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -304,6 +304,7 @@
 	var splitter eventSplitter
 	buf := make([]byte, 8<<10)
 	total, line := 0, 0
+	lastRead := e.p.cfg.Clock()
 	for {
 		n, err := resp.Body.Read(buf)
 		total += n
@@ -312,6 +313,7 @@
 			return failed, mpselect.Failed, "stream too large"
 		}
 		if n > 0 {
+			lastRead = e.p.cfg.Clock()
 			out := buf[:n]
 			if e.route.Spec().Resumable {
 				if out = splitter.add(out); splitter.lastID != "" {
@@ -333,6 +335,9 @@
 		case errors.Is(err, io.EOF):
 			e.writeStream(resp, splitter.remainder(), flusher)
 			return answered, mpselect.Succeeded, ""
+		case e.p.cfg.Clock().Sub(lastRead) >= eventGapTimeout:
+			// A caller that leaves such a stream leaves because of the silence.
+			return failed, mpselect.Failed, "stream fell silent: " + err.Error()
 		default:
 			return failed, outcomeOfLoss(ctx, idleTimer), "stream broke off: " + err.Error()
 		}
--- a/core/request/mpproxy/endless_test.go
+++ b/core/request/mpproxy/endless_test.go
@@ -201,22 +201,38 @@
 }
 
 // Guards against blaming an upstream for a caller that has left: it was avoided though it
-// had done nothing wrong.
+// had done nothing wrong. A caller that leaves a silent stream shows the upstream's fault.
 func TestUpstreamIsNotBlamedForItsCaller(t *testing.T) {
-	for name, c := range map[string]struct{ path, prefix string }{
-		"body":   {"/read/", "HTTP/1.1 200 OK\r\n\r\n"},
-		"stream": {"/tale/", "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n"},
+	const (
+		stream = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n"
+		drip   = 20 * time.Millisecond
+		never  = 10 * time.Second
+	)
+	for name, c := range map[string]struct {
+		path, prefix string
+		gap          time.Duration
+		leaves       time.Duration
+		// next is the upstream that gets the next request.
+		next string
+	}{
+		"body":          {"/read/", "HTTP/1.1 200 OK\r\n\r\n", drip, 200 * time.Millisecond, "u1"},
+		"stream":        {"/once/", stream, drip, 200 * time.Millisecond, "u1"},
+		"silent stream": {"/once/", stream, never, eventGapTimeout + 200*time.Millisecond, "u2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			u := endlessUpstream{prefix: c.prefix, repeat: "z", gap: 20 * time.Millisecond}
+			u := endlessUpstream{prefix: c.prefix, repeat: "z", gap: c.gap}
 			r := newEndlessHarness(t, u.start(t), startWhole(t, events))
 			ctx, cancel := context.WithCancelCause(t.Context())
-			time.AfterFunc(200*time.Millisecond, func() { cancel(errors.New("caller left")) })
-			r.serve(ctx, request(c.path))
+			time.AfterFunc(c.leaves, func() { cancel(errors.New("caller left")) })
+			q := request(c.path)
+			if c.path == "/once/" {
+				q.Pieces = []int{0, 0}
+			}
+			r.serve(ctx, q)
 			row, _ := r.p.cfg.Selector.Pick(time.Now(), r.p.candidates(r.p.cfg.State.Table().Pool("app")), mpselect.PickInfo{Work: 1, DC: "a"})
-			if row.ID != "u1" {
-				t.Errorf("the next request goes to %s", row.ID)
+			if row.ID != c.next {
+				t.Errorf("the next request goes to %s, want %s", row.ID, c.next)
 			}
 		})
 	}
