--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -247,7 +247,7 @@
 func (e *exchange) forwardBuffered(
 	ctx context.Context, resp *http.Response, idleTimer *time.Timer, last bool,
 ) (attemptResult, mpselect.Outcome, string) {
-	if resp.ContentLength > maxResponseBytes {
+	if resp.ContentLength > maxResponseBytes && e.r.Method != http.MethodHead {
 		return failed, mpselect.Failed, "response body too large"
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
--- a/core/request/mpproxy/endless_test.go
+++ b/core/request/mpproxy/endless_test.go
@@ -115,12 +115,13 @@
 	}
 }
 
-// checkAvoided reports an error if u1 would get the next request.
-func checkAvoided(t *testing.T, r *harness) {
+// checkNext reports an error if the next request does not go to the upstream called want.
+// It goes to u2 while u1 is avoided for a fault.
+func checkNext(t *testing.T, r *harness, want string) {
 	t.Helper()
 	row, _ := r.p.cfg.Selector.Pick(time.Now(), r.p.candidates(r.p.cfg.State.Table().Pool("app")), mpselect.PickInfo{Work: 1, DC: "a"})
-	if row.ID == "u1" {
-		t.Error("the upstream's fault was not counted: it gets the next request")
+	if row.ID != want {
+		t.Errorf("the next request goes to %s, want %s", row.ID, want)
 	}
 }
 
@@ -169,11 +170,21 @@
 			r := newEndlessHarness(t, c.u.start(t), startWhole(t, second))
 			checkAnswer(t, want, r.serve(t.Context(), request(c.path)))
 			checkClosed(t, &c.u, c.limit)
-			checkAvoided(t, r)
+			checkNext(t, r, "u2")
 		})
 	}
 }
 
+// Guards against refusing the announced length of a body that is not sent.
+func TestHeadOfLongBody(t *testing.T) {
+	u := endlessUpstream{prefix: "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", gap: 20 * time.Millisecond}
+	r := newEndlessHarness(t, u.start(t), startWhole(t, "whole"))
+	q := request("/read/")
+	q.Method, q.Body = http.MethodHead, nil
+	checkAnswer(t, answer{Status: 200}, r.serve(t.Context(), q))
+	checkNext(t, r, "u1")
+}
+
 // Guards against a stream that may not be resumed and that sends a line, or lines, without
 // end: its caller got them until its deadline.
 func TestStreamWithoutEndIsCutOff(t *testing.T) {
@@ -195,7 +206,7 @@
 				t.Errorf("the caller got %d bytes, cut off: %t; want at most %d", len(got.Body), got.Aborted, c.limit)
 			}
 			checkClosed(t, &u, c.limit)
-			checkAvoided(t, r)
+			checkNext(t, r, "u2")
 		})
 	}
 }
@@ -230,10 +241,7 @@
 				q.Pieces = []int{0, 0}
 			}
 			r.serve(ctx, q)
-			row, _ := r.p.cfg.Selector.Pick(time.Now(), r.p.candidates(r.p.cfg.State.Table().Pool("app")), mpselect.PickInfo{Work: 1, DC: "a"})
-			if row.ID != c.next {
-				t.Errorf("the next request goes to %s, want %s", row.ID, c.next)
-			}
+			checkNext(t, r, c.next)
 		})
 	}
 }
