--- a/core/process/mplog/timeline_test.go
+++ b/core/process/mplog/timeline_test.go
@@ -15,6 +15,13 @@
 level=info at=2026-12-04T05:00:00.51Z vm=b msg=stage id=r2 pool=p stage=0 pieces=2 calls=7 err=null
 `
 
+const shardsLog = `level=info at=2026-12-04T05:00:00.1Z vm=b msg=batch pool=p shard=0/2 upstream=u1 call=1
+level=info at=2026-12-04T05:00:00.2Z vm=b msg=batch pool=p shard=1/2 upstream=u2 call=1
+level=info at=2026-12-04T05:00:00.3Z vm=b msg=batch pool=q shard=1/2 upstream=u3 call=1
+level=info at=2026-12-04T05:00:00.4Z vm=b msg=stage id=r1 pool=p shard=1/2 stage=0 calls=1
+level=info at=2026-12-04T05:00:00.5Z vm=b msg=stage id=r1 pool=q shard=1/2 stage=1 calls=1
+`
+
 const requestLog = `   28.1 front-a level=info at=2026-12-04T05:00:00.7Z vm=a msg=request id=r1 route=x status=502 reason="send: connection reset" upstream=u1 sends=1 stages=320ms took=650ms
 level=warn msg="log lines dropped" at=2026-12-04T05:00:01Z vm=a lines=12
 `
@@ -73,6 +80,22 @@
 			"no line for the end of the request: its VM stopped before that, or the log of its VM is not among the files",
 		})
 	})
+	// Each shard of each pool numbers its calls from 1, and one VM may own several.
+	t.Run("calls of another shard or pool of the same VM are left out", func(t *testing.T) {
+		timeline, err := Explain("r1", strings.NewReader(shardsLog))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var upstreams []string
+		for _, l := range timeline.Lines {
+			if l.Msg == "batch" {
+				upstreams = append(upstreams, l.Get("upstream"))
+			}
+		}
+		if diff := cmp.Diff([]string{"u2", "u3"}, upstreams); diff != "" {
+			t.Errorf("upstreams of the calls (-want +got):\n%s", diff)
+		}
+	})
 	t.Run("an unknown request is an error", func(t *testing.T) {
 		if _, err := Explain("r3", strings.NewReader(ownerLog)); !errors.Is(err, mperror.ErrNotFound) {
 			t.Errorf("got %v, want ErrNotFound", err)
--- a/core/process/mpstage/burst_test.go
+++ b/core/process/mpstage/burst_test.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mplog"
@@ -40,11 +44,14 @@
 // sentCounter simulates upstreams that answer at once, and counts the bytes of the calls
 // to them.
 type sentCounter struct {
-	fakeClient
 	mu   sync.Mutex
 	sent int
+	// made holds the results of this VM's calls, freed those that it freed.
+	made, freed []string
 }
 
+var _ BatchClient = (*sentCounter)(nil)
+
 func (c *sentCounter) Run(_ context.Context, _ time.Time, call mpbatch.Call) mpbatch.Outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -54,11 +61,32 @@
 		for _, in := range it.Inputs {
 			c.sent += inputOverhead + len(in)
 		}
-		out.Items = append(out.Items, mpbatch.ItemOutcome{Handle: fmt.Sprintf("%s/%d-%d", call.Upstream.Address, call.ID, i)})
+		handle := fmt.Sprintf("%s/%s-%d-%d", call.Upstream.Address, it.Request, call.ID, i)
+		c.made = append(c.made, handle)
+		out.Items = append(out.Items, mpbatch.ItemOutcome{Handle: handle})
 	}
 	return out
 }
 
+func (c *sentCounter) AddressOf(handle string) string {
+	address, _, _ := strings.Cut(handle, "/")
+	return address
+}
+
+func (c *sentCounter) Free(_ context.Context, _ string, handles []string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.freed = append(c.freed, handles...)
+	return nil
+}
+
+// results returns the results that this VM made and freed, each sorted.
+func (c *sentCounter) results() (made, freed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(slices.Values(c.made)), slices.Sorted(slices.Values(c.freed))
+}
+
 func (c *sentCounter) sentBytes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,6 +103,11 @@
 	return p.owner.Serve(ctx, r), nil
 }
 
+func (p burstPeer) Free(_ context.Context, r *mpwire.FreeRequest) (*mpwire.FreeReply, error) {
+	p.owner.ServeFree(r)
+	return &mpwire.FreeReply{}, nil
+}
+
 // burstVM is one VM of the test.
 type burstVM struct {
 	router *Router
@@ -127,12 +160,10 @@
 	})}
 }
 
-// Guards against one VM that all pieces of a pool pass through: the owner's link, then its
-// processor, delayed each call, the results of earlier stages waited in full memory, and
-// the callers of the least urgent requests were answered late.
-func TestBurstIsDividedBetweenVMs(t *testing.T) {
+// runBurst runs the jobs of the burst at random VMs, and passes the results of each to done.
+func runBurst(t *testing.T, vms []burstVM, done func(vm burstVM, handles []string)) {
+	t.Helper()
 	random := rand.New(rand.NewPCG(burstSeed, 0))
-	vms := startBurstVMs(t)
 	var inputs []string
 	for i := range burstInputs {
 		inputs = append(inputs, fmt.Sprintf("10.1.64.%d:8080/5c1e07a2e440", 10+i))
@@ -149,9 +180,22 @@
 			if err != nil || len(results) != burstPieces {
 				t.Errorf("job %s: %d results: %v", spec.Request, len(results), err)
 			}
+			handles := make([]string, len(results))
+			for i, r := range results {
+				handles[i] = r.Handle
+			}
+			done(vm, handles)
 		})
 	}
 	wg.Wait()
+}
+
+// Guards against one VM that all pieces of a pool pass through: the owner's link, then its
+// processor, delayed each call, the results of earlier stages waited in full memory, and
+// the callers of the least urgent requests were answered late.
+func TestBurstIsDividedBetweenVMs(t *testing.T) {
+	vms := startBurstVMs(t)
+	runBurst(t, vms, func(burstVM, []string) {})
 	most := 0
 	for _, vm := range vms {
 		most = max(most, vm.client.sentBytes())
@@ -161,3 +205,22 @@
 		t.Errorf("one VM sends %d B for one second of the burst, want at most half of its link, %d B", most, linkBytesPerSec/2)
 	}
 }
+
+// Guards against results that are freed by another owner than the one that counts them:
+// their memory would count as used until their upstreams drop them.
+func TestResultsAreFreedByTheirOwner(t *testing.T) {
+	const freeTimeout = 5 * time.Second
+	vms := startBurstVMs(t)
+	runBurst(t, vms, func(vm burstVM, handles []string) { vm.router.Free("p", handles) })
+	deadline := time.Now().Add(freeTimeout)
+	for i, vm := range vms {
+		made, freed := vm.client.results()
+		for len(freed) < len(made) && time.Now().Before(deadline) {
+			<-time.After(freeInterval)
+			made, freed = vm.client.results()
+		}
+		if diff := cmp.Diff(made, freed); diff != "" {
+			t.Errorf("results that VM %d made and freed (-made +freed):\n%s", i, diff)
+		}
+	}
+}
--- a/core/process/mpstage/shard.go
+++ b/core/process/mpstage/shard.go
@@ -69,7 +69,8 @@
 	return slices.DeleteFunc(slices.Clone(rows), func(r mplist.Row) bool { return numbers[r] != s.number })
 }
 
-// rankKey is the key by which VMs are ranked as owners of s.
+// rankKey is the key by which VMs are ranked as owners of s. An undivided pool is ranked by
+// its name alone, as in earlier versions.
 func (s shard) rankKey() string {
 	if s.count == 1 {
 		return s.pool
--- a/core/process/mpusage/mpusage.go
+++ b/core/process/mpusage/mpusage.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mpmetric"
 )
@@ -68,7 +69,7 @@
 // usage is what the process used between two samples.
 type usage struct {
 	over time.Duration
-	// cpu is the processor time.
+	// cpu is the processor time; 0 if it cannot be read.
 	cpu time.Duration
 	// delay is the delayQuantile of the times that goroutines were ready to run but did
 	// not run.
@@ -79,8 +80,11 @@
 func (m *Monitor) sample(now time.Time) usage {
 	s := usage{over: now.Sub(m.at), bytes: map[string]int64{}}
 	m.at = now
-	cpu := processorTime()
-	s.cpu, m.cpu = cpu-m.cpu, cpu
+	if cpu, err := processorTime(); err != nil {
+		_ = level.Warn(m.cfg.Logger).Log("msg", "processor time not read", "err", err)
+	} else {
+		s.cpu, m.cpu = cpu-m.cpu, cpu
+	}
 	for _, name := range []string{UpstreamOut, UpstreamIn, PeerOut, PeerIn} {
 		total := m.cfg.Metrics.Count(name)
 		s.bytes[name], m.bytes[name] = total-m.bytes[name], total
@@ -94,12 +98,12 @@
 }
 
 // processorTime returns the processor time that the process has used so far.
-func processorTime() time.Duration {
+func processorTime() (time.Duration, error) {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
+		return 0, mperror.Wrap(err, "read the usage of the process")
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
 }
 
 // quantile returns an upper bound of the quantile q of the values that were added to h
--- a/core/request/mpbatch/cost_test.go
+++ b/core/request/mpbatch/cost_test.go
@@ -39,11 +39,11 @@
 // late jobs compared every job with every other one, which kept the owner's processor from
 // the calls that would have shortened the queue.
 func TestSheddingTimeGrowsWithTheQueue(t *testing.T) {
-	const factor = 16
-	short, long := shedTime(t, 100), shedTime(t, 100*factor)
+	const jobs, factor = 100, 16
+	short, long := shedTime(t, jobs), shedTime(t, jobs*factor)
 	// Sorting adds less than a factor of 2, and the square would add one of 16.
 	if long > 4*factor*short {
-		t.Errorf("%d jobs take %v and %d take %v", 100, short, 100*factor, long)
+		t.Errorf("%d jobs take %v and %d take %v", jobs, short, jobs*factor, long)
 	}
 }
 
--- a/core/request/mpproxy/endless_test.go
+++ b/core/request/mpproxy/endless_test.go
@@ -140,34 +140,32 @@
 		u    endlessUpstream
 		// limit is how many bytes may be read.
 		limit int
+		// second is what the other upstream answers.
+		second string
 	}{
-		"status line":                        {"/read/", endlessUpstream{repeat: kilobyte}, 64 << 10},
-		"head":                               {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: " + kilobyte + "\r\n"}, 64 << 10},
-		"head, slowly":                       {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: y\r\n", gap: drip}, 64 << 10},
-		"interim heads":                      {"/read/", endlessUpstream{repeat: "HTTP/1.1 103 Early Hints\r\n\r\n"}, 64 << 10},
-		"head of a stream":                   {"/tale/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: " + kilobyte + "\r\n"}, 64 << 10},
-		"head of a stream, slowly":           {"/tale/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: y\r\n", gap: drip}, 64 << 10},
-		"body in chunks":                     {"/read/", endlessUpstream{prefix: chunked, repeat: chunk}, maxResponseBytes},
-		"body in chunks, slowly":             {"/read/", endlessUpstream{prefix: chunked, repeat: "1\r\nz\r\n", gap: drip}, maxResponseBytes},
-		"body that ends with its connection": {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n\r\n", repeat: kilobyte}, maxResponseBytes},
-		"body with a length":                 {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", repeat: kilobyte}, 64 << 10},
-		"event of a stream":                  {"/tale/", endlessUpstream{prefix: chunked, repeat: chunk}, maxEventBytes},
-		"event of a stream, slowly":          {"/tale/", endlessUpstream{prefix: chunked, repeat: "1\r\nz\r\n", gap: drip}, maxEventBytes},
-		"lines of a stream":                  {"/tale/", endlessUpstream{prefix: chunked, repeat: "400\r\n" + strings.Repeat(":\n", 1<<9) + "\r\n"}, maxEventBytes},
-		"lines of a stream, slowly":          {"/tale/", endlessUpstream{prefix: chunked, repeat: "2\r\n:\n\r\n", gap: drip}, maxEventBytes},
-		"event after a whole one, slowly":    {"/tale/", endlessUpstream{prefix: chunked + "f\r\nid: 1\ndata: a\n\n\r\n", repeat: "1\r\nz\r\n", gap: drip}, maxEventBytes},
+		"status line":                        {"/read/", endlessUpstream{repeat: kilobyte}, 64 << 10, "whole"},
+		"head":                               {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: " + kilobyte + "\r\n"}, 64 << 10, "whole"},
+		"head, slowly":                       {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: y\r\n", gap: drip}, 64 << 10, "whole"},
+		"interim heads":                      {"/read/", endlessUpstream{repeat: "HTTP/1.1 103 Early Hints\r\n\r\n"}, 64 << 10, "whole"},
+		"head of a stream":                   {"/tale/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: " + kilobyte + "\r\n"}, 64 << 10, events},
+		"head of a stream, slowly":           {"/tale/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n", repeat: "X: y\r\n", gap: drip}, 64 << 10, events},
+		"body in chunks":                     {"/read/", endlessUpstream{prefix: chunked, repeat: chunk}, maxResponseBytes, "whole"},
+		"body in chunks, slowly":             {"/read/", endlessUpstream{prefix: chunked, repeat: "1\r\nz\r\n", gap: drip}, maxResponseBytes, "whole"},
+		"body that ends with its connection": {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n\r\n", repeat: kilobyte}, maxResponseBytes, "whole"},
+		"body with a length":                 {"/read/", endlessUpstream{prefix: "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", repeat: kilobyte}, 64 << 10, "whole"},
+		"event of a stream":                  {"/tale/", endlessUpstream{prefix: chunked, repeat: chunk}, maxEventBytes, events},
+		"event of a stream, slowly":          {"/tale/", endlessUpstream{prefix: chunked, repeat: "1\r\nz\r\n", gap: drip}, maxEventBytes, events},
+		"lines of a stream":                  {"/tale/", endlessUpstream{prefix: chunked, repeat: "400\r\n" + strings.Repeat(":\n", 1<<9) + "\r\n"}, maxEventBytes, events},
+		"lines of a stream, slowly":          {"/tale/", endlessUpstream{prefix: chunked, repeat: "2\r\n:\n\r\n", gap: drip}, maxEventBytes, events},
+		"event after a whole one, slowly":    {"/tale/", endlessUpstream{prefix: chunked + "f\r\nid: 1\ndata: a\n\n\r\n", repeat: "1\r\nz\r\n", gap: drip}, maxEventBytes, "id: 2\ndata: b\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			want := answer{Status: 200, Body: "whole"}
-			second := "whole"
 			if c.path == "/tale/" {
-				want.Body, second = events, events
+				want.Body = events
 			}
-			if name == "event after a whole one, slowly" {
-				second = "id: 2\ndata: b\n\n"
-			}
-			r := newEndlessHarness(t, c.u.start(t), startWhole(t, second))
+			r := newEndlessHarness(t, c.u.start(t), startWhole(t, c.second))
 			checkAnswer(t, want, r.serve(t.Context(), request(c.path)))
 			checkClosed(t, &c.u, c.limit)
 			checkNext(t, r, "u2")
