--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -119,6 +119,7 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream = row.ID
+	e.framing, e.tail = noBody, 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
@@ -179,6 +180,7 @@
 		return failed, outcome, "send: " + err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
+	e.framing = framingOf(e.r.Method, resp)
 	d := e.p.cfg.Dialect
 	switch {
 	case !d.MatchesRequest(e.r, resp.Header):
@@ -302,14 +304,16 @@
 ) (attemptResult, mpselect.Outcome, string) {
 	flusher := http.NewResponseController(e.w)
 	var splitter eventSplitter
+	var scanner eventScanner
+	defer func() { e.tail = scanner.tail }()
 	buf := make([]byte, 8<<10)
-	total, line := 0, 0
+	total := 0
 	lastRead := e.p.cfg.Clock()
 	for {
 		n, err := resp.Body.Read(buf)
 		total += n
-		line = lineLength(line, buf[:n])
-		if total > maxStreamBytes || line > maxEventBytes {
+		scanner.scan(buf[:n])
+		if total > maxStreamBytes || scanner.line > maxEventBytes {
 			return failed, mpselect.Failed, "stream too large"
 		}
 		if n > 0 {
@@ -344,15 +348,6 @@
 	}
 }
 
-// lineLength returns the length of the last line so far, after data was added to one of
-// length n.
-func lineLength(n int, data []byte) int {
-	if i := bytes.LastIndexAny(data, "\r\n"); i >= 0 {
-		return len(data) - i - 1
-	}
-	return n + len(data)
-}
-
 func (e *exchange) writeStream(resp *http.Response, out []byte, flusher *http.ResponseController) {
 	if !e.headerWritten {
 		e.timeToFirstEvent = e.p.cfg.Clock().Sub(e.sentAt)
--- /dev/null
+++ b/core/request/mpproxy/events.go
@@ -0,0 +1,49 @@
+package mpproxy
+
+// eventScanner finds the ends of server-sent events in a stream. An event ends with an
+// empty line; lines end with a line feed, a carriage return or both.
+type eventScanner struct {
+	// line is the length of the last line so far, and comment whether it is a comment.
+	line    int
+	comment bool
+	// afterCR is set after a carriage return, whose line feed does not end another line.
+	afterCR bool
+	// hasField is set if the current event has a complete line other than a comment.
+	hasField bool
+	// tail is the number of bytes after the last event.
+	tail int
+}
+
+// scan adds data to the stream. It returns the length of the part of data that ends with
+// the last event, or 0 if no event ends in data.
+func (s *eventScanner) scan(data []byte) int {
+	end := 0
+	for i, b := range data {
+		s.tail++
+		switch {
+		case b == '\n' && s.afterCR:
+			s.afterCR = false
+			if s.tail == 1 {
+				end, s.tail = i+1, 0
+			}
+			continue
+		case b == '\n' || b == '\r':
+			if s.line == 0 {
+				s.hasField, s.tail, end = false, 0, i+1
+			} else {
+				s.hasField = s.hasField || !s.comment
+			}
+			s.line = 0
+		default:
+			if s.line == 0 {
+				s.comment = b == ':'
+			}
+			s.line++
+		}
+		s.afterCR = b == '\r'
+	}
+	return end
+}
+
+// insideEvent reports whether an event or a line has begun and not ended.
+func (s *eventScanner) insideEvent() bool { return s.hasField || s.line > 0 }
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -101,9 +101,13 @@
 	startDeadline time.Time
 	pickInfo      mpselect.PickInfo
 	// mayHaveRun is set once an upstream may have run the request.
-	mayHaveRun     bool
-	sends          int
-	upstream       string
+	mayHaveRun bool
+	sends      int
+	upstream   string
+	// framing is that of the last response from an upstream, and tail how many bytes of it
+	// came after its last event.
+	framing        framing
+	tail           int
 	sentAt         time.Time
 	stagesDuration time.Duration
 	// timeToHeader and timeToFirstEvent are measured from the sending of the attempt.
@@ -316,7 +320,7 @@
 	}
 	_ = level.Info(e.p.cfg.Logger).Log("msg", "request", "id", e.r.ID, "route", route, "status", e.status,
 		"reason", e.reason, "upstream", e.upstream, "sends", e.sends, "stages", e.stagesDuration, "head", e.timeToHeader, "first", e.timeToFirstEvent,
-		"pause", e.longestGap,
+		"pause", e.longestGap, "framing", e.framing, "tail", e.tail,
 		"took", e.p.cfg.Clock().Sub(e.start), "plan", e.table.Version())
 }
 
