mpproxy: Forward answers without claiming more than their end tells

Cause: an answer with neither a length nor chunks ends with its connection, and a connection ends the same way whether the upstream finished or died. The proxy took each such end for the end of the answer and passed it on with a length or a last chunk of its own. It also never looked at whether a stream, however framed, ended inside an event.

Change: a stream that ends inside an event has failed, and is resumed or broken off. An answer that ends with its connection reaches the caller without a length or chunks too, so that the caller can tell no more than the system. A stream that ends with its connection before any event has failed. Where the caller's framing is already chosen and would mark an end that the upstream did not mark, the stream is resumed or broken off. A response that ends with its connection, also to HTTP/1.0 callers, is reset unless it has been written whole: the linger time is 0 until then, which also covers a process that dies.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -189,7 +189,7 @@
 		return inputsMissing, mpselect.Neutral, "stage results no longer exist"
 	case d.NotRun(resp.StatusCode, resp.Header):
 		return refused, mpselect.Refused, "not run: " + resp.Status
-	case e.route.Spec().Kind == mproute.Stream && resp.StatusCode == http.StatusOK:
+	case e.route.Spec().Kind == mproute.Stream && resp.StatusCode == http.StatusOK && e.framing != noBody:
 		return e.forwardStream(ctx, resp, idleTimer, last)
 	}
 	return e.forwardBuffered(ctx, resp, idleTimer, last)
@@ -266,12 +266,16 @@
 		return failed, mpselect.Succeeded, "upstream did not resume the stream: " + resp.Status
 	}
 	e.copyHeader(resp)
-	if e.r.Method != http.MethodHead {
+	switch e.framing {
+	case noBody:
+	case byClose:
+		e.endWithConnection(ctx)
+	case byLength, byChunks:
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.w.WriteHeader(resp.StatusCode)
 	_, _ = e.w.Write(body)
-	e.status = resp.StatusCode
+	e.completeResponse(ctx)
 	return answered, mpselect.Succeeded, ""
 }
 
@@ -298,46 +302,52 @@
 }
 
 // forwardStream forwards events as they arrive. A resumable stream is forwarded in
-// complete events only, so that another upstream can continue after the last one.
+// complete events only, so that another upstream can continue after the last one. The
+// caller can tell from the end of its response no more than the upstream's end tells.
 func (e *exchange) forwardStream(
 	ctx context.Context, resp *http.Response, idleTimer *time.Timer, last bool,
 ) (attemptResult, mpselect.Outcome, string) {
 	flusher := http.NewResponseController(e.w)
 	var splitter eventSplitter
-	var scanner eventScanner
-	defer func() { e.tail = scanner.tail }()
+	defer func() { e.tail = splitter.tail }()
 	buf := make([]byte, 8<<10)
 	total := 0
 	lastRead := e.p.cfg.Clock()
 	for {
 		n, err := resp.Body.Read(buf)
 		total += n
-		scanner.scan(buf[:n])
-		if total > maxStreamBytes || scanner.line > maxEventBytes {
+		out := buf[:n]
+		if e.route.Spec().Resumable {
+			out = splitter.add(out)
+		} else {
+			splitter.scan(out)
+		}
+		switch {
+		case total > maxStreamBytes || splitter.line > maxEventBytes:
 			return failed, mpselect.Failed, "stream too large"
+		case len(splitter.remainder()) > maxEventBytes:
+			return failed, mpselect.Failed, "event too large"
 		}
 		if n > 0 {
 			lastRead = e.p.cfg.Clock()
-			out := buf[:n]
-			if e.route.Spec().Resumable {
-				if out = splitter.add(out); splitter.lastID != "" {
-					e.lastEventID = splitter.lastID
-				}
-				if len(splitter.remainder()) > maxEventBytes {
-					return failed, mpselect.Failed, "event too large"
-				}
-				if !last && len(out) > 0 {
-					idleTimer.Reset(eventGapTimeout)
-				}
+		}
+		if len(out) > 0 {
+			if splitter.lastID != "" {
+				e.lastEventID = splitter.lastID
 			}
-			if len(out) > 0 {
-				e.writeStream(resp, out, flusher)
+			if e.route.Spec().Resumable && !last {
+				idleTimer.Reset(eventGapTimeout)
 			}
+			e.writeStream(ctx, resp, out, flusher)
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			e.writeStream(resp, splitter.remainder(), flusher)
+			if outcome, why := e.checkStreamEnd(&splitter.eventScanner); why != "" {
+				return failed, outcome, why
+			}
+			e.writeStream(ctx, resp, splitter.remainder(), flusher)
+			e.completeResponse(ctx)
 			return answered, mpselect.Succeeded, ""
 		case e.p.cfg.Clock().Sub(lastRead) >= eventGapTimeout:
 			// A caller that leaves such a stream leaves because of the silence.
@@ -348,12 +358,15 @@
 	}
 }
 
-func (e *exchange) writeStream(resp *http.Response, out []byte, flusher *http.ResponseController) {
+func (e *exchange) writeStream(ctx context.Context, resp *http.Response, out []byte, flusher *http.ResponseController) {
 	if !e.headerWritten {
 		e.timeToFirstEvent = e.p.cfg.Clock().Sub(e.sentAt)
 		e.p.forecast.recordFirstToken(e.pool.Spec().Name, e.r.Prompt, e.timeToFirstEvent)
 		e.copyHeader(resp)
 		e.w.Header().Del("Content-Length")
+		if e.framing == byClose || e.r.HTTP10 {
+			e.endWithConnection(ctx)
+		}
 		e.w.WriteHeader(resp.StatusCode)
 		e.freeInputs()
 	}
@@ -369,29 +382,3 @@
 		_ = flusher.Flush()
 	}
 }
-
-// eventSplitter splits a stream of server-sent events at event boundaries.
-type eventSplitter struct {
-	buffered []byte
-	lastID   string
-}
-
-// add appends data to the buffer, and removes and returns the complete events.
-func (s *eventSplitter) add(data []byte) []byte {
-	s.buffered = append(s.buffered, data...)
-	end := bytes.LastIndex(s.buffered, []byte("\n\n"))
-	if end < 0 {
-		return nil
-	}
-	out := bytes.Clone(s.buffered[:end+2])
-	s.buffered = append(s.buffered[:0], s.buffered[end+2:]...)
-	for line := range bytes.Lines(out) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimSpace(id))
-		}
-	}
-	return out
-}
-
-// remainder returns the data after the last complete event.
-func (s *eventSplitter) remainder() []byte { return s.buffered }
--- a/core/request/mpproxy/events.go
+++ b/core/request/mpproxy/events.go
@@ -1,5 +1,7 @@
 package mpproxy
 
+import "bytes"
+
 // eventScanner finds the ends of server-sent events in a stream. An event ends with an
 // empty line; lines end with a line feed, a carriage return or both.
 type eventScanner struct {
@@ -47,3 +49,31 @@
 
 // insideEvent reports whether an event or a line has begun and not ended.
 func (s *eventScanner) insideEvent() bool { return s.hasField || s.line > 0 }
+
+// eventSplitter splits a stream at the ends of its events.
+type eventSplitter struct {
+	eventScanner
+	held   []byte
+	lastID string
+}
+
+// add appends data to the stream, and returns the events that have ended.
+func (s *eventSplitter) add(data []byte) []byte {
+	end := s.scan(data)
+	s.held = append(s.held, data...)
+	if end == 0 {
+		return nil
+	}
+	n := len(s.held) - len(data) + end
+	out := bytes.Clone(s.held[:n])
+	s.held = append(s.held[:0], s.held[n:]...)
+	for _, line := range bytes.FieldsFunc(out, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+	return out
+}
+
+// remainder returns the data after the last event.
+func (s *eventSplitter) remainder() []byte { return s.held }
--- a/core/request/mpproxy/framing_test.go
+++ b/core/request/mpproxy/framing_test.go
@@ -93,9 +93,10 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+	srv := &http.Server{ReadHeaderTimeout: time.Second, ConnContext: WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
 		q := request(path)
 		q.Method, q.Body, q.LastEventID, q.Pieces = hr.Method, nil, lastEventID, []int{0, 0}
+		q.HTTP10 = !hr.ProtoAtLeast(1, 1)
 		r.p.Serve(hr.Context(), w, q)
 	})}
 	r.t.Cleanup(func() { _ = srv.Close() })
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -120,7 +120,9 @@
 	inputs     []input
 	// headerWritten is set once the response header was written to the caller.
 	headerWritten bool
-	lastEventID   string
+	// endsWithConnection is set if the caller's response has neither a length nor chunks.
+	endsWithConnection bool
+	lastEventID        string
 	// status is the response status for the log.
 	status int
 	reason string
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -28,6 +28,8 @@
 	// Path selects the route. Target is the request target as sent by the caller.
 	Path   string
 	Target string
+	// HTTP10 is set if the caller speaks HTTP/1.0 and so does not understand chunks.
+	HTTP10 bool
 	Header http.Header
 	Body   []byte
 	// APIKey identifies the caller's account; empty if the caller sent none.
