mpupstream: Do not take a broken-off response for a complete one

A refusal of a stream whose body broke off counted as whole, too.

Such a response is now complete only if it is JSON, which has an end of its own; any other has failed as a bad response.

--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -119,7 +120,8 @@
 	c.unpooled.CloseIdleConnections()
 }
 
-// Do sends call and returns the complete response. Refusals for overload (429 and
+// Do sends call and returns the complete response. A response that ends with its connection
+// is complete only if it is JSON. Refusals for overload (429 and
 // 503) and other statuses of 500 and above are a Failure; the rest are a Response.
 func (c *Client) Do(ctx context.Context, call Call) (Response, *Failure) {
 	resp, sent, fail := c.start(ctx, call)
@@ -134,6 +136,10 @@
 	if len(body) > maxResponseBytes {
 		return Response{}, &Failure{Sent: true, Err: mperror.Wrap(mperror.ErrBadResponse, "longer than %d bytes", maxResponseBytes)}
 	}
+	if endsWithConnection(resp) && !json.Valid(body) {
+		err := mperror.Wrap(mperror.ErrBadResponse, "%d bytes without a length, chunks or an end of their own", len(body))
+		return Response{}, &Failure{Sent: true, Err: err}
+	}
 	return Response{
 		Status:      resp.StatusCode,
 		ContentType: resp.Header.Get("Content-Type"),
@@ -143,6 +149,12 @@
 	}, nil
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of the
+// response, which is the same whether the upstream was done or died.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // start sends call and checks the status and header of the response.
 func (c *Client) start(ctx context.Context, call Call) (*http.Response, *atomic.Bool, *Failure) {
 	sent := &atomic.Bool{}
--- a/core/connection/mpupstream/mpupstream_test.go
+++ b/core/connection/mpupstream/mpupstream_test.go
@@ -174,3 +174,30 @@
 		}
 	})
 }
+
+// Guards against taking a response that was broken off for a complete one.
+func TestEndOfResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct {
+		response string
+		want     error
+	}{
+		"length":                             {head + "Content-Length: 5\r\n\r\nwhole", nil},
+		"length that is not reached":         {head + "Content-Length: 5\r\n\r\nwho", mperror.ErrConnectionLost},
+		"chunks without the last one":        {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n", mperror.ErrConnectionLost},
+		"text that ends with its connection": {head + "\r\nwho", mperror.ErrBadResponse},
+		"JSON that ends with its connection": {head + "\r\n{\"a\":[1,2]}", nil},
+		"JSON that is broken off":            {head + "\r\n{\"a\":[1,", mperror.ErrBadResponse},
+		"nothing, and the connection ends":   {head + "\r\n", mperror.ErrBadResponse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, f := New().Do(t.Context(), call(serve(t, func(w http.ResponseWriter, _ *http.Request) { hijack(w, c.response) })))
+			checkFailure(t, f, c.want, true)
+		})
+	}
+	t.Run("a refusal of a stream", func(t *testing.T) {
+		response := "HTTP/1.1 400 Bad Request\r\nContent-Length: 5\r\n\r\nwho"
+		_, _, f := New().Stream(t.Context(), call(serve(t, func(w http.ResponseWriter, _ *http.Request) { hijack(w, response) })), nil)
+		checkFailure(t, f, mperror.ErrConnectionLost, true)
+	})
+}
--- a/core/connection/mpupstream/stream.go
+++ b/core/connection/mpupstream/stream.go
@@ -51,7 +51,10 @@
 		Cold:        resp.Header.Get(ColdHeader) == "1",
 	}
 	if resp.StatusCode != http.StatusOK {
-		answer.Body, _ = io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+		var err error
+		if answer.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes)); err != nil {
+			return answer, Usage{}, newFailure(ctx, sent.Load(), err)
+		}
 		return answer, Usage{}, nil
 	}
 	usage, err := readEvents(resp.Body, emit)
