mpplatform: Reject lists of VMs that are not whole

The list is now one JSON document with status 200. 2 of 4 cases of TestListThatIsNotWhole failed before.

--- a/core/connection/mpplatform/mpplatform.go
+++ b/core/connection/mpplatform/mpplatform.go
@@ -56,11 +56,15 @@
 		return nil, mperror.Wrap(err, "read VM list from platform at %s", c.url)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var rows []Row
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&rows); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
 		return nil, mperror.Wrap(err, "read VM list from platform at %s", c.url)
 	}
-	return rows, nil
+	if resp.StatusCode != http.StatusOK {
+		return nil, mperror.Wrap(mperror.ErrBadResponse, "VM list from platform at %s: %s", c.url, resp.Status)
+	}
+	var rows []Row
+	return rows, mperror.Wrap(json.Unmarshal(body, &rows), "decode VM list from platform at %s", c.url)
 }
 
 // Marks returns the marks that make v agree with the list. Machines that are not in
--- a/core/connection/mpplatform/mpplatform_test.go
+++ b/core/connection/mpplatform/mpplatform_test.go
@@ -53,3 +53,28 @@
 		t.Error("upstream on a machine that is live again is not usable")
 	}
 }
+
+// Guards against believing a list that the platform did not send as a whole list.
+func TestListThatIsNotWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		ok     bool
+	}{
+		"whole list":      {http.StatusOK, `[{"vm":"m1","state":"leaving"}]`, true},
+		"error":           {http.StatusInternalServerError, `[{"vm":"m1","state":"leaving"}]`, false},
+		"broken off":      {http.StatusOK, `[{"vm":"m1","state":"leaving"},`, false},
+		"list and a rest": {http.StatusOK, `[{"vm":"m1","state":"leaving"}][`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			t.Cleanup(server.Close)
+			if rows, err := New(server.URL).List(t.Context()); (err == nil) != c.ok {
+				t.Errorf("list %v, error %v; want a list: %t", rows, err, c.ok)
+			}
+		})
+	}
+}
