mpoperator: Reject bodies that are not one document

The class of ORDER in the reader of operators' bodies: of a body with two changes the first was made and the second dropped without a word, and a body that was broken off after a whole document was acted on. Such a body is now refused as invalid.

--- a/core/connection/mpoperator/mpoperator.go
+++ b/core/connection/mpoperator/mpoperator.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"io"
 	"net/http"
 	"net/http/pprof"
 	"strconv"
@@ -144,11 +145,22 @@
 	Took int64 `json:"took"`
 }
 
-func (s *Server) change(w http.ResponseWriter, r *http.Request) {
-	var c ChangeRequest
+// decodeBody decodes a body that is one JSON document with known fields only.
+func decodeBody(r *http.Request, v any) error {
 	d := json.NewDecoder(r.Body)
 	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return mperror.Wrap(mperror.ErrInvalid, "body has more than one document or is broken off")
+	}
+	return nil
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+	var c ChangeRequest
+	if err := decodeBody(r, &c); err != nil {
 		writeJSON(w, http.StatusBadRequest, ErrorResponse{"invalid", err.Error()})
 		return
 	}
@@ -239,9 +251,7 @@
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var c mpstate.Order
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil || c.ID == "" {
+	if err := decodeBody(r, &c); err != nil || c.ID == "" {
 		writeJSON(w, http.StatusBadRequest, ErrorResponse{"invalid", "an order has id, upstream, action and name"})
 		return
 	}
