mpproxy: Log what a lost attempt had in common with others

The line of an attempt that did not answer its request now has the parts that other requests may share, a hash of what is equal when a request is sent again, whether the stream had begun and whether the upstream was in its cold start. The lines stay limited per cause as before. No behaviour changes.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -119,7 +120,7 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream = row.ID
-	e.framing, e.tail = noBody, 0
+	e.framing, e.tail, e.beganAt = noBody, 0, time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
@@ -136,7 +137,9 @@
 func (e *exchange) logAttempt(row mplist.Row, result attemptResult, change mpselect.HealthChange, why string, took time.Duration) {
 	if result != answered && e.p.failureSummaries.ShouldLog(result.String()+" at "+row.Pool, e.r.ID) {
 		_ = level.Info(e.p.cfg.Logger).Log("msg", "attempt", "id", e.r.ID, "pool", row.Pool, "upstream", row.ID, "dc", row.DC,
-			"send", e.sends, "ended", result, "why", why, "took", took, "left", e.deadline.Sub(e.p.cfg.Clock()))
+			"send", e.sends, "ended", result, "why", why, "took", took, "left", e.deadline.Sub(e.p.cfg.Clock()),
+			"cold", e.p.cfg.State.Usable().ColdUntil(row).After(e.p.cfg.Clock()), "began", !e.beganAt.IsZero(),
+			"parts", partNames(e.r.sharedParts()), "content", mpid.Hex(e.r.contentHash()))
 	}
 	switch change {
 	case mpselect.Avoided:
@@ -330,6 +333,9 @@
 		}
 		if n > 0 {
 			lastRead = e.p.cfg.Clock()
+			if e.beganAt.IsZero() {
+				e.beganAt = lastRead
+			}
 		}
 		if len(out) > 0 {
 			if splitter.lastID != "" {
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -106,9 +106,11 @@
 	upstream   string
 	// framing is that of the last response from an upstream, and tail how many bytes of it
 	// came after its last event.
-	framing        framing
-	tail           int
-	sentAt         time.Time
+	framing framing
+	tail    int
+	sentAt  time.Time
+	// beganAt is when the first bytes of the stream of the last attempt arrived.
+	beganAt        time.Time
 	stagesDuration time.Duration
 	// timeToHeader and timeToFirstEvent are measured from the sending of the attempt.
 	timeToHeader     time.Duration
