--- a/core/connection/mpoperator/mpoperator_test.go
+++ b/core/connection/mpoperator/mpoperator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -25,7 +26,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var got ChangeRequest
-			if err := decodeBody(httptest.NewRequest("POST", "/", c.body), &got); (err == nil) != c.ok {
+			if err := decodeBody(httptest.NewRequest(http.MethodPost, "/", c.body), &got); (err == nil) != c.ok {
 				t.Errorf("error %v, want success: %t", err, c.ok)
 			}
 		})
