mpproxy, mpgateway: Quarantine requests that crash upstreams

Cause: nothing remembered what the requests under which upstreams ended had in common. Each VM saw one attempt fail and backed off from one upstream; the next request with the part went to the next one.

Change: an attempt that is lost before its answer went on for half a second makes the VM probe the upstream's address. If connections are refused, the features of the request are evidence for mpquarantine, which the VMs share as strikes of the replicated view, so that it outlives restarts and the leader and a VM has it before it serves. Requests with a suspect part are tried one at a time, on an upstream that the others spare. Requests with a convicted part are refused at once with 503, which is true, and with the time at which the conviction ends as Retry-After. A request that has been sent gets 502. Convictions end after five minutes on probation, where one crash suffices. Each piece of evidence has a line, which explain adds to a refused request.

It works because the third crash at the latest, or the fourth, convicts the part at all VMs within some hundred milliseconds, while sound requests with the other parts keep clearing those.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -19,6 +19,7 @@
 	"mustardpost.org/core/connection/mpmember"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpproposer"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpconsensus"
 	"mustardpost.org/core/process/mplead"
@@ -28,6 +29,7 @@
 	"mustardpost.org/core/process/mpvoter"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpproxy"
+	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -37,6 +39,7 @@
 
 const (
 	operatorName = "operator"
+	systemName   = "system"
 	// commitTimeout is shorter than the time that operators wait before they try another VM.
 	commitTimeout = 900 * time.Millisecond
 	pruneInterval = 10 * time.Second
@@ -104,6 +107,8 @@
 	owner        *mpstage.Owner
 	router       *mpstage.Router
 	proxy        *mpproxy.Proxy
+	quarantine   *mpquarantine.Ledger
+	evidence     *evidence
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -130,6 +135,7 @@
 		voterService: &mpconsensus.Service{IsVoter: cfg.IsVoter},
 		budgets:      map[string]*mpbudget.Budget{},
 		view:         mpview.Empty(),
+		quarantine:   mpquarantine.New(),
 	}
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics})
 	g.member = mpmember.New(mpmember.Config{
@@ -149,6 +155,7 @@
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
 		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
 	})
+	g.evidence = newEvidence(func(ctx context.Context, op mpview.Op) error { return g.propose(ctx, systemName, op) }, g.member.Current, cfg.Logger)
 	g.proxy = mpproxy.New(mpproxy.Config{
 		DC:            cfg.DC,
 		State:         g,
@@ -157,6 +164,9 @@
 		Selector:      g.selector,
 		Budget:        g.budget,
 		Transport:     cfg.Transport,
+		Quarantine:    g.quarantine,
+		Evidence:      g.evidence,
+		Prober:        mpupstream.NewProber(cfg.LocalIP),
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
 		Clock:         time.Now,
@@ -182,6 +192,8 @@
 		voter := g.voterService.Voter()
 		return voter != nil && voter.Replica().Status().Leading
 	})
+	g.metrics.Gauge("quarantine.suspects", func() any { return g.quarantine.Count(mpquarantine.Suspect, mpquarantine.StrongSuspect) })
+	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
 }
 
@@ -242,6 +254,7 @@
 	if g.cfg.CallerAddress != "" {
 		go mptime.Every(ctx, fallbackListInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
 	}
+	go g.evidence.run(ctx)
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) { g.selector.Prune(now, g.List()) })
 	select {
@@ -284,7 +297,7 @@
 	}
 }
 
-func (g *Gateway) onView(_ time.Time, old, next *mpview.View) {
+func (g *Gateway) onView(now time.Time, old, next *mpview.View) {
 	if r := next.Routing(); r.Version != old.Routing().Version {
 		table, err := g.cfg.DecodePlan(r)
 		if err != nil {
@@ -295,6 +308,7 @@
 		g.table.Store(table)
 		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision())
 	}
+	g.updateQuarantine(now, next)
 	var serving []string
 	for _, vm := range next.Serving() {
 		serving = append(serving, vm.Name)
@@ -306,6 +320,17 @@
 	g.updateUsable()
 }
 
+// updateQuarantine takes over what the other VMs learned about crashes.
+func (g *Gateway) updateQuarantine(now time.Time, view *mpview.View) {
+	convicted, cleared := g.quarantine.SetStrikes(now, view.AllStrikes())
+	for _, f := range convicted {
+		_ = level.Info(g.cfg.Logger).Log("msg", "conviction learnt", "feature", f, "revision", view.Revision())
+	}
+	if len(cleared) > 0 {
+		g.evidence.Clear(cleared)
+	}
+}
+
 func (g *Gateway) onList(_ time.Time, list *mplist.List) {
 	_ = level.Info(g.cfg.Logger).Log("msg", "list of upstreams adopted", "rows", len(list.Rows()), "hash", list.Hash())
 	g.mu.Lock()
@@ -367,18 +392,18 @@
 // PublishPlan replaces the operators' plan, unless a newer one is in force. If it returns
 // an error that wraps ErrOutcomeUnknown, the plan may still take effect.
 func (g *Gateway) PublishPlan(ctx context.Context, r mpview.Routing) error {
-	return g.propose(ctx, mpview.Publish{Routing: r})
+	return g.propose(ctx, operatorName, mpview.Publish{Routing: r})
 }
 
 // SetOutOfService takes a data centre out of service or back in.
 func (g *Gateway) SetOutOfService(ctx context.Context, dc string, out bool) error {
-	return g.propose(ctx, mpview.Mark{Target: mpview.TargetDC, Name: dc, Out: out})
+	return g.propose(ctx, operatorName, mpview.Mark{Target: mpview.TargetDC, Name: dc, Out: out})
 }
 
-func (g *Gateway) propose(ctx context.Context, op mpview.Op) error {
+func (g *Gateway) propose(ctx context.Context, who string, op mpview.Op) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	c := mpstate.Change{ID: mpid.New(), Who: operatorName, Change: mpview.Change{Op: op}}
+	c := mpstate.Change{ID: mpid.New(), Who: who, Change: mpview.Change{Op: op}}
 	reply, err := g.proposer.Propose(ctx, c, 0)
 	if err != nil {
 		return err
--- a/core/process/mplog/timeline.go
+++ b/core/process/mplog/timeline.go
@@ -27,6 +27,10 @@
 	MsgAttemptsFailed = "attempts failed"
 )
 
+// MsgCrashEvidence is the message of lines about an upstream that ended under a request.
+// Refusals name the same feature.
+const MsgCrashEvidence = "crash evidence"
+
 // Field is a key and its value.
 type Field struct {
 	Key   string `json:"key"`
@@ -60,11 +64,12 @@
 }
 
 // Explain collects the lines about the request with the given ID from logs, ordered by
-// time, including the batch calls that ran its pieces. It returns an error that wraps
+// time, including the batch calls that ran its pieces and the evidence on which it was
+// refused. It returns an error that wraps
 // ErrNotFound if no line names the request.
 func Explain(id string, logs ...io.Reader) (Timeline, error) {
 	t := Timeline{ID: id, Gaps: []string{}}
-	var calls, drops []Line
+	var calls, drops, evidence []Line
 	for _, r := range logs {
 		if err := readLines(r, func(l Line) {
 			switch {
@@ -72,6 +77,8 @@
 				t.Lines = append(t.Lines, l)
 			case l.Msg == "batch":
 				calls = append(calls, l)
+			case l.Msg == MsgCrashEvidence:
+				evidence = append(evidence, l)
 			case l.Msg == "log lines dropped":
 				drops = append(drops, l)
 			}
@@ -83,6 +90,7 @@
 		return t, mperror.Wrap(mperror.ErrNotFound, "request %s", id)
 	}
 	t.addBatchCalls(calls)
+	t.addEvidence(evidence)
 	slices.SortStableFunc(t.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	t.findGaps(drops)
 	return t, nil
@@ -160,6 +168,17 @@
 	}
 }
 
+// addEvidence adds the evidence against the features for which the request was refused.
+func (t *Timeline) addEvidence(evidence []Line) {
+	for _, l := range slices.Clone(t.Lines) {
+		for _, e := range evidence {
+			if feature := e.Get("feature"); feature != "" && strings.Contains(l.Get("reason")+l.Get("cause"), feature) {
+				t.Lines = append(t.Lines, e)
+			}
+		}
+	}
+}
+
 func (t *Timeline) findGaps(drops []Line) {
 	end := slices.IndexFunc(t.Lines, func(l Line) bool { return l.Msg == "request" || l.Msg == MsgRequestsNotServed })
 	if end < 0 {
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mpid"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -76,21 +77,17 @@
 func (e *exchange) runAttempts(ctx context.Context) (rerunStages bool) {
 	spec := e.route.Spec()
 	possibleRuns, reason := 0, "no usable upstream"
-	for e.sends < maxNotRunSends+spec.MaxAttempts {
-		timeLeft := e.deadline.Sub(e.p.cfg.Clock())
-		if timeLeft < minAttemptTime {
-			break
-		}
-		if e.sends > 0 && !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
-			reason += "; retry budget exhausted"
-			break
-		}
-		row, ok := e.pick()
+	for e.sends < maxNotRunSends+spec.MaxAttempts && e.timeLeft() >= minAttemptTime {
+		t, verdict, ok := e.awaitTrial(ctx)
 		if !ok {
+			e.respondQuarantined(ctx, verdict)
+			return false
+		}
+		result, why, sent := e.send(ctx, t, possibleRuns+1 >= spec.MaxAttempts)
+		if !sent {
+			reason += why
 			break
 		}
-		last := possibleRuns+1 >= spec.MaxAttempts
-		result, why := e.attempt(ctx, row, timeLeft, last)
 		reason = why
 		switch result {
 		case answered:
@@ -106,8 +103,8 @@
 				return false
 			}
 		}
-		e.pickInfo.Exclude = append(e.pickInfo.Exclude, row.ID)
-		if ctx.Err() != nil {
+		// Evidence of another VM's trial on the same upstream may be on its way.
+		if ctx.Err() != nil || t.feature != 0 && !mptime.Sleep(ctx, trialPause) {
 			break
 		}
 	}
@@ -115,18 +112,40 @@
 	return false
 }
 
+func (e *exchange) timeLeft() time.Duration { return e.deadline.Sub(e.p.cfg.Clock()) }
+
+// send makes one attempt, which ends the trial. It returns false, and what to add to the
+// reason, if no attempt is possible.
+func (e *exchange) send(ctx context.Context, t trial, last bool) (attemptResult, string, bool) {
+	defer t.end()
+	if e.sends > 0 && !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
+		return refused, "; retry budget exhausted", false
+	}
+	row, ok := e.pick(t)
+	if !ok {
+		return refused, "", false
+	}
+	e.endTrial = t.end
+	result, why := e.attempt(ctx, row, e.timeLeft(), last)
+	e.pickInfo.Exclude = append(e.pickInfo.Exclude, row.ID)
+	return result, why, true
+}
+
 // attempt sends the request to one upstream and forwards the response.
 func (e *exchange) attempt(ctx context.Context, row mplist.Row, timeout time.Duration, last bool) (attemptResult, string) {
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream = row.ID
-	e.framing, e.tail, e.beganAt = noBody, 0, time.Time{}
+	e.framing, e.tail, e.beganAt, e.isSound = noBody, 0, time.Time{}, false
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
 	defer idleTimer.Stop()
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	now := e.p.cfg.Clock()
+	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
+		e.recordLoss(row)
+	}
 	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	return result, why
@@ -137,7 +156,7 @@
 func (e *exchange) logAttempt(row mplist.Row, result attemptResult, change mpselect.HealthChange, why string, took time.Duration) {
 	if result != answered && e.p.failureSummaries.ShouldLog(result.String()+" at "+row.Pool, e.r.ID) {
 		_ = level.Info(e.p.cfg.Logger).Log("msg", "attempt", "id", e.r.ID, "pool", row.Pool, "upstream", row.ID, "dc", row.DC,
-			"send", e.sends, "ended", result, "why", why, "took", took, "left", e.deadline.Sub(e.p.cfg.Clock()),
+			"send", e.sends, "ended", result, "why", why, "took", took, "left", e.timeLeft(),
 			"cold", e.p.cfg.State.Usable().ColdUntil(row).After(e.p.cfg.Clock()), "began", !e.beganAt.IsZero(),
 			"parts", partNames(e.r.sharedParts()), "content", mpid.Hex(e.r.contentHash()))
 	}
@@ -255,6 +274,7 @@
 	if resp.ContentLength > maxResponseBytes && e.r.Method != http.MethodHead {
 		return failed, mpselect.Failed, "response body too large"
 	}
+	e.beganAt = e.p.cfg.Clock()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return failed, outcomeOfLoss(ctx, idleTimer), "read response body: " + err.Error()
@@ -262,6 +282,9 @@
 	if len(body) > maxResponseBytes {
 		return failed, mpselect.Failed, "response body too large"
 	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		e.recordSound()
+	}
 	if resp.StatusCode >= http.StatusInternalServerError && e.route.IsRepeatable() && !last && e.hasTimeToRetry() {
 		return failed, mpselect.Succeeded, "upstream error: " + resp.Status
 	}
@@ -283,7 +306,7 @@
 }
 
 func (e *exchange) hasTimeToRetry() bool {
-	return e.deadline.Sub(e.p.cfg.Clock()) > minAttemptTime
+	return e.timeLeft() > minAttemptTime
 }
 
 func (e *exchange) copyHeader(resp *http.Response) {
@@ -346,6 +369,9 @@
 			}
 			e.writeStream(ctx, resp, out, flusher)
 		}
+		if !e.beganAt.IsZero() && lastRead.Sub(e.beganAt) >= soundDuration {
+			e.recordSound()
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
@@ -354,6 +380,7 @@
 			}
 			e.writeStream(ctx, resp, splitter.remainder(), flusher)
 			e.completeResponse(ctx)
+			e.recordSound()
 			return answered, mpselect.Succeeded, ""
 		case e.p.cfg.Clock().Sub(lastRead) >= eventGapTimeout:
 			// A caller that leaves such a stream leaves because of the silence.
--- a/core/request/mpproxy/explain_test.go
+++ b/core/request/mpproxy/explain_test.go
@@ -44,7 +44,7 @@
 	var out []string
 	for _, l := range s.Lines {
 		words := []string{l.VM, l.Msg}
-		for _, key := range []string{"cause", "status", "upstream", "ended", "why", "reason", "plan"} {
+		for _, key := range []string{"cause", "status", "upstream", "ended", "why", "reason", "feature", "became", "plan"} {
 			if v := l.Get(key); v != "" {
 				words = append(words, key+"="+v)
 			}
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -17,8 +17,8 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
-	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
 
@@ -59,9 +59,14 @@
 	// Budget returns the retry budget of a pool.
 	Budget    func(pool string) *mpbudget.Budget
 	Transport http.RoundTripper
-	Metrics   *mpmetric.Set
-	Logger    log.Logger
-	Clock     func() time.Time
+	// Quarantine holds the evidence against requests that crash upstreams. Evidence hands on
+	// what is added to it, and Prober tests upstreams that broke off an attempt.
+	Quarantine *mpquarantine.Ledger
+	Evidence   CrashEvidence
+	Prober     Prober
+	Metrics    *mpmetric.Set
+	Logger     log.Logger
+	Clock      func() time.Time
 }
 
 // Proxy forwards requests to upstreams. It is safe for concurrent use.
@@ -100,6 +105,7 @@
 	// other requests it equals deadline.
 	startDeadline time.Time
 	pickInfo      mpselect.PickInfo
+	traits        mpquarantine.Traits
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	sends      int
@@ -109,8 +115,12 @@
 	framing framing
 	tail    int
 	sentAt  time.Time
-	// beganAt is when the first bytes of the stream of the last attempt arrived.
-	beganAt        time.Time
+	// beganAt is when the first bytes of the body of the last attempt's response arrived,
+	// and isSound is set once that attempt counts as answered without a crash.
+	beganAt time.Time
+	isSound bool
+	// endTrial ends the trial as which the last attempt was sent, if it was one.
+	endTrial       func()
 	stagesDuration time.Duration
 	// timeToHeader and timeToFirstEvent are measured from the sending of the attempt.
 	timeToHeader     time.Duration
@@ -187,6 +197,11 @@
 		startTimeout := max(minStartTimeout, startTimeoutTargetFactor*spec.LatencyTarget, startTimeoutGapFactor*spec.GapTarget)
 		e.startDeadline = e.start.Add(min(startTimeout, timeout))
 	}
+	e.traits = traitsOf(e.r)
+	if v := e.p.cfg.Quarantine.Judge(e.start, e.traits); v.Level == mpquarantine.Convicted {
+		e.refuseConvicted(v)
+		return false
+	}
 	e.pool = e.table.Pool(e.route.PickPool(rand.Float64()))
 	e.pickInfo = e.p.pickInfo(e.r, e.pool)
 	e.p.cfg.Budget(e.pool.Spec().Name).Deposit()
@@ -334,8 +349,3 @@
 	}
 	e.inputs = nil
 }
-
-// pick selects an upstream to which the request was not sent before.
-func (e *exchange) pick() (mplist.Row, bool) {
-	return e.p.cfg.Selector.Pick(e.p.cfg.Clock(), e.p.candidates(e.pool), e.pickInfo)
-}
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -20,6 +20,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -152,6 +153,24 @@
 	e.freed = append(e.freed, handles...)
 }
 
+// noEvidence drops the evidence that a VM hands on.
+type noEvidence struct{}
+
+func (noEvidence) Raise([]mpquarantine.Finding) {}
+func (noEvidence) Clear([]mpquarantine.Feature) {}
+
+// upProber is a Prober for upstreams of which those in down have ended.
+type upProber struct {
+	mu   sync.Mutex
+	down map[string]bool
+}
+
+func (p *upProber) IsDown(_ context.Context, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down[address]
+}
+
 type harness struct {
 	t         *testing.T
 	transport *fakeTransport
@@ -193,7 +212,7 @@
 	r.p = New(Config{
 		DC: "a", State: staticState{table, list}, Dialect: fakeDialect{}, StageExecutor: r.executor,
 		Selector: mpselect.New(mpselect.Config{VM: "v"}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: r.transport, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
+		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	return r
 }
--- /dev/null
+++ b/core/request/mpproxy/quarantine.go
@@ -0,0 +1,198 @@
+package mpproxy
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/process/mplog"
+	"mustardpost.org/core/request/mpquarantine"
+	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/version/mplist"
+)
+
+const (
+	// soundDuration is how long a stream must go on for its request to count as answered
+	// without a crash.
+	soundDuration = 500 * time.Millisecond
+	// trialTimeout limits how long a request waits for the trial of another one.
+	trialTimeout = 1500 * time.Millisecond
+	// trialPause is the time between a trial that was not answered and the request's next.
+	trialPause = 300 * time.Millisecond
+	// probePause is the time between two probes of an upstream whose connection was lost.
+	probePause = 150 * time.Millisecond
+)
+
+// CrashEvidence hands on to the other VMs what this VM learned about crashes.
+type CrashEvidence interface {
+	// Raise adds findings to the evidence of all VMs.
+	Raise(findings []mpquarantine.Finding)
+	// Clear removes the evidence against the features.
+	Clear(features []mpquarantine.Feature)
+}
+
+// Prober tests whether a process is running.
+type Prober interface {
+	// IsDown reports whether the machine at address refuses connections. It returns false
+	// if there is no answer.
+	IsDown(ctx context.Context, address string) bool
+}
+
+func traitsOf(r *Request) mpquarantine.Traits {
+	t := mpquarantine.Traits{Content: mpquarantine.ContentFeature(r.contentHash())}
+	for _, p := range r.sharedParts() {
+		t.Parts = append(t.Parts, mpquarantine.PartFeature(p.ID))
+	}
+	return t
+}
+
+// nameOf returns the name of a feature of the request for the log.
+func nameOf(r *Request, f mpquarantine.Feature) string {
+	for _, p := range r.sharedParts() {
+		if mpquarantine.PartFeature(p.ID) == f {
+			return "part " + p.ID
+		}
+	}
+	return "content"
+}
+
+// refuseConvicted refuses a request that has not run and never will, because of a feature
+// that crashes upstreams.
+func (e *exchange) refuseConvicted(v mpquarantine.Verdict) {
+	retryAfter := max(time.Until(v.Until), minRetryAfter)
+	if v.Until.IsZero() {
+		retryAfter = mpquarantine.ConvictionTTL
+	}
+	e.p.cfg.Metrics.Add("quarantine.refused", 1)
+	e.refuse(http.StatusServiceUnavailable, retryAfter, "crashes upstreams, feature "+v.Feature.String(), nameOf(e.r, v.Feature))
+}
+
+// trial is the permission to send a request. If feature is not 0, the request is sent as
+// the trial of that feature.
+type trial struct {
+	feature mpquarantine.Feature
+	end     func()
+}
+
+// awaitTrial waits until the request may be sent. It returns false if that is not to be
+// expected in time; the verdict says why.
+func (e *exchange) awaitTrial(ctx context.Context) (trial, mpquarantine.Verdict, bool) {
+	timeout := time.NewTimer(min(trialTimeout, e.timeLeft()/2))
+	defer timeout.Stop()
+	for {
+		v := e.p.cfg.Quarantine.Judge(e.p.cfg.Clock(), e.traits)
+		switch v.Level {
+		case mpquarantine.Convicted:
+			return trial{}, v, false
+		case mpquarantine.Clear, mpquarantine.Noted:
+			return trial{end: func() {}}, v, true
+		case mpquarantine.Suspect, mpquarantine.StrongSuspect:
+		}
+		if wait := mpquarantine.TrialDelay - e.p.cfg.Clock().Sub(v.Since); wait > 0 {
+			select {
+			case <-time.After(wait):
+				continue
+			case <-timeout.C:
+				return trial{}, v, false
+			case <-ctx.Done():
+				return trial{}, v, false
+			}
+		}
+		end, busy := e.p.cfg.Quarantine.BeginTrial(v.Feature)
+		if busy == nil {
+			e.p.cfg.Metrics.Add("quarantine.trials", 1)
+			return trial{v.Feature, end}, v, true
+		}
+		select {
+		case <-busy:
+		case <-timeout.C:
+			return trial{}, v, false
+		case <-ctx.Done():
+			return trial{}, v, false
+		}
+	}
+}
+
+// respondQuarantined ends a request that may not be sent.
+func (e *exchange) respondQuarantined(ctx context.Context, v mpquarantine.Verdict) {
+	if v.Level == mpquarantine.Convicted && !e.mayHaveRun && !e.headerWritten && ctx.Err() == nil {
+		e.refuseConvicted(v)
+		return
+	}
+	e.respondUnanswered(ctx, v.Level.String()+": "+nameOf(e.r, v.Feature)+", feature "+v.Feature.String())
+}
+
+// pick selects an upstream to which the request was not sent before. Trials of a feature go
+// to the same upstream from all VMs, which other requests spare for a while.
+func (e *exchange) pick(t trial) (mplist.Row, bool) {
+	now := e.p.cfg.Clock()
+	candidates := slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
+		return slices.Contains(e.pickInfo.Exclude, c.Row.ID)
+	})
+	ids := make([]string, len(candidates))
+	for i, c := range candidates {
+		ids[i] = c.Row.ID
+	}
+	place := e.p.cfg.Quarantine.Place(now, ids)
+	isMeant := func(c mpselect.Candidate) bool {
+		return t.feature != 0 && c.Row.ID == place.Upstream(t.feature) || t.feature == 0 && !place.Spares(c.Row.ID)
+	}
+	meant := slices.DeleteFunc(slices.Clone(candidates), func(c mpselect.Candidate) bool { return !isMeant(c) })
+	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok {
+		return row, true
+	}
+	return e.p.cfg.Selector.Pick(now, candidates, e.pickInfo)
+}
+
+// recordLoss tests whether an upstream that broke off an attempt has ended. If it has, the
+// features of the request are evidence.
+func (e *exchange) recordLoss(row mplist.Row) {
+	crash := mpquarantine.Crash{Upstream: row.ID, SentAt: e.sentAt, HasHead: e.framing != noBody, Traits: e.traits}
+	if e.p.cfg.Prober.IsDown(context.Background(), row.Address) {
+		e.p.recordCrash(e.r, crash)
+		return
+	}
+	// Its connections may be closed before it stops listening.
+	time.AfterFunc(probePause, func() {
+		if e.p.cfg.Prober.IsDown(context.Background(), row.Address) {
+			e.p.recordCrash(e.r, crash)
+		}
+	})
+}
+
+func (p *Proxy) recordCrash(r *Request, c mpquarantine.Crash) {
+	p.cfg.Metrics.Add("quarantine.crashes", 1)
+	raised, cleared := p.cfg.Quarantine.RecordCrash(p.cfg.Clock(), c)
+	for _, f := range raised {
+		_ = level.Warn(p.cfg.Logger).Log("msg", mplog.MsgCrashEvidence, "id", r.ID, "upstream", c.Upstream, "feature", f.Feature,
+			"name", nameOf(r, f.Feature), "became", f.Level)
+	}
+	p.cfg.Evidence.Raise(raised)
+	p.clear(r, cleared, "explained by another conviction")
+}
+
+// recordSound records that the last attempt was answered without a crash.
+func (e *exchange) recordSound() {
+	if e.isSound {
+		return
+	}
+	e.isSound = true
+	e.p.clear(e.r, e.p.cfg.Quarantine.RecordSound(e.p.cfg.Clock(), e.beganAt, e.traits), "answered")
+	e.endTrial()
+}
+
+func (p *Proxy) clear(r *Request, features []mpquarantine.Feature, why string) {
+	if len(features) == 0 {
+		return
+	}
+	names := make([]string, len(features))
+	for i, f := range features {
+		names[i] = f.String()
+	}
+	_ = level.Info(p.cfg.Logger).Log("msg", "crash evidence cleared", "id", r.ID, "features", strings.Join(names, ","), "why", why)
+	p.cfg.Evidence.Clear(features)
+}
