mpproxy: Do not join streams that do not go on after the last event

A resumed stream must now begin with an event whose ID differs from the last one, and is larger if both are numbers; else it has failed.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -98,7 +98,7 @@
 		case failed:
 			e.mayHaveRun = true
 			possibleRuns++
-			if !e.route.IsRepeatable() || possibleRuns >= spec.MaxAttempts || ctx.Err() != nil {
+			if !e.canRepeat() || possibleRuns >= spec.MaxAttempts || ctx.Err() != nil {
 				e.respondUnanswered(ctx, reason)
 				return false
 			}
@@ -112,6 +112,12 @@
 	return false
 }
 
+// canRepeat reports whether the request may be sent again after an upstream may have run
+// it. A stream whose events have no IDs cannot be resumed once it has begun.
+func (e *exchange) canRepeat() bool {
+	return e.route.IsRepeatable() && (!e.headerWritten || e.lastEventID != "")
+}
+
 func (e *exchange) timeLeft() time.Duration { return e.deadline.Sub(e.p.cfg.Clock()) }
 
 // send makes one attempt, which ends the trial. It returns false, and what to add to the
@@ -338,6 +344,10 @@
 	defer func() { e.tail = splitter.tail }()
 	buf := make([]byte, 8<<10)
 	total := 0
+	resumedAfter := ""
+	if e.headerWritten {
+		resumedAfter = e.lastEventID
+	}
 	lastRead := e.p.cfg.Clock()
 	for {
 		n, err := resp.Body.Read(buf)
@@ -361,6 +371,10 @@
 			}
 		}
 		if len(out) > 0 {
+			if resumedAfter != "" && !isAfter(firstEventID(out), resumedAfter) {
+				return failed, mpselect.Failed, "resumed stream does not go on after event " + resumedAfter
+			}
+			resumedAfter = ""
 			if splitter.lastID != "" {
 				e.lastEventID = splitter.lastID
 			}
--- a/core/request/mpproxy/events.go
+++ b/core/request/mpproxy/events.go
@@ -1,6 +1,9 @@
 package mpproxy
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // eventScanner finds the ends of server-sent events in a stream. An event ends with an
 // empty line; lines end with a line feed, a carriage return or both.
@@ -67,13 +70,41 @@
 	n := len(s.held) - len(data) + end
 	out := bytes.Clone(s.held[:n])
 	s.held = append(s.held[:0], s.held[n:]...)
-	for _, line := range bytes.FieldsFunc(out, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimSpace(id))
-		}
+	if ids := eventIDs(out); len(ids) > 0 {
+		s.lastID = ids[len(ids)-1]
 	}
 	return out
 }
 
 // remainder returns the data after the last event.
 func (s *eventSplitter) remainder() []byte { return s.held }
+
+// eventIDs returns the IDs of the events in data.
+func eventIDs(data []byte) []string {
+	var out []string
+	for _, line := range bytes.FieldsFunc(data, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			out = append(out, string(bytes.TrimSpace(id)))
+		}
+	}
+	return out
+}
+
+// firstEventID returns the ID of the first event in data that has one, or "".
+func firstEventID(data []byte) string {
+	if ids := eventIDs(data); len(ids) > 0 {
+		return ids[0]
+	}
+	return ""
+}
+
+// isAfter reports whether an event with ID id may follow the event with ID last. IDs that are
+// numbers increase.
+func isAfter(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != "" && id != last
+	}
+	return n > m
+}
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -319,6 +319,18 @@
 		"a resumed stream has complete events only, each exactly once": {"/tale/", []reply{
 			{status: 200, body: "id: 1\ndata: a\n\nid: 2\nda", truncate: true}, {status: 200, body: "id: 2\ndata: b\n\n"},
 		}, answer{Status: 200, Body: events, Sent: 2}},
+		"a resumed stream that starts over is cut off": {"/tale/", []reply{
+			{status: 200, body: "id: 9\ndata: a\n\n", truncate: true}, {status: 200, body: "id: 8\ndata: z\n\nid: 9\ndata: a\n\nid: 10\ndata: b\n\n"},
+		}, answer{Status: 200, Body: "id: 9\ndata: a\n\n", Aborted: true, Sent: 2}},
+		"a resumed stream that repeats the last event is cut off": {"/tale/", []reply{
+			{status: 200, body: "id: x\ndata: a\n\n", truncate: true}, {status: 200, body: "id: x\ndata: a\n\n"},
+		}, answer{Status: 200, Body: "id: x\ndata: a\n\n", Aborted: true, Sent: 2}},
+		"a resumed stream goes on with larger numbers": {"/tale/", []reply{
+			{status: 200, body: "id: 9\ndata: a\n\n", truncate: true}, {status: 200, body: "id: 10\ndata: b\n\n"},
+		}, answer{Status: 200, Body: "id: 9\ndata: a\n\nid: 10\ndata: b\n\n", Sent: 2}},
+		"a stream whose events have no IDs is not resumed": {"/tale/", []reply{
+			{status: 200, body: "data: a\n\n", truncate: true}, {status: 200, body: "data: a\n\ndata: b\n\n"},
+		}, answer{Status: 200, Body: "data: a\n\n", Aborted: true, Sent: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := request(c.path)
