--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -324,7 +324,7 @@
 func (g *Gateway) updateQuarantine(now time.Time, view *mpview.View) {
 	convicted, cleared := g.quarantine.SetStrikes(now, view.AllStrikes())
 	for _, f := range convicted {
-		_ = level.Info(g.cfg.Logger).Log("msg", "conviction learnt", "feature", f, "revision", view.Revision())
+		_ = level.Info(g.cfg.Logger).Log("msg", "conviction learned", "feature", f, "revision", view.Revision())
 	}
 	if len(cleared) > 0 {
 		g.evidence.Clear(cleared)
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -149,11 +149,11 @@
 	defer idleTimer.Stop()
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	now := e.p.cfg.Clock()
+	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
+	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row)
 	}
-	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
-	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	return result, why
 }
 
--- a/core/request/mpproxy/endless_test.go
+++ b/core/request/mpproxy/endless_test.go
@@ -36,20 +36,26 @@
 }
 
 func (u *endlessUpstream) start(t *testing.T) (address string) {
+	t.Helper()
+	u.closed = make(chan int, 8)
+	return listen(t, u.answer)
+}
+
+// listen returns the address of an upstream that calls answer for each connection.
+func listen(t *testing.T, answer func(c net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	u.closed = make(chan int, 8)
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go u.answer(c)
+			go answer(c)
 		}
 	}()
 	return l.Addr().String()
--- a/core/request/mpproxy/framing_test.go
+++ b/core/request/mpproxy/framing_test.go
@@ -48,21 +48,7 @@
 
 func (s script) start(t *testing.T) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.answer(c)
-		}
-	}()
-	return l.Addr().String()
+	return listen(t, s.answer)
 }
 
 func (s script) answer(c net.Conn) {
