mpquarantine: Try no more suspects at once than there are upstreams

Two suspects that were tried on the same upstream could both be convicted by its end. With few upstreams left, that happened to the first part of all prompts. A suspect without an upstream of its own now waits: its requests are refused, as not run, until another trial has ended.

--- a/core/request/mpproxy/quarantine.go
+++ b/core/request/mpproxy/quarantine.go
@@ -142,8 +142,8 @@
 		return t.feature != 0 && c.Row.ID == place.Upstream(t.feature) || t.feature == 0 && !place.Spares(c.Row.ID)
 	}
 	meant := slices.DeleteFunc(slices.Clone(candidates), func(c mpselect.Candidate) bool { return !isMeant(c) })
-	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok {
-		return row, true
+	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok || t.feature != 0 {
+		return row, ok
 	}
 	return e.p.cfg.Selector.Pick(now, candidates, e.pickInfo)
 }
--- a/core/request/mpquarantine/pattern_test.go
+++ b/core/request/mpquarantine/pattern_test.go
@@ -164,6 +164,10 @@
 		id = mprank.Of(uint64(a.traits.Parts[len(parts)-1]), slices.DeleteFunc(ids, place.Spares))[0]
 	}
 	u := byID[id]
+	if u == nil {
+		a.endTrial()
+		return
+	}
 	u.running = append(u.running, a)
 	if isBad {
 		s.badSent = append(s.badSent, ms)
--- a/core/request/mpquarantine/place.go
+++ b/core/request/mpquarantine/place.go
@@ -23,9 +23,10 @@
 // Spares reports whether only trials should use the upstream.
 func (p Placement) Spares(id string) bool { return slices.Contains(p.spared, id) }
 
-// Place gives each suspect one of the upstreams with the given IDs, of its own as far as
-// there are enough. VMs with the same evidence and IDs choose the same. At most half of the
-// upstreams are spared other requests.
+// Place gives each suspect one of the upstreams with the given IDs of its own, since the end
+// of an upstream must speak against one suspect only. Some get none if there are too few. VMs
+// with the same evidence and IDs choose the same. At most half of the upstreams are spared
+// other requests.
 func (l *Ledger) Place(now time.Time, ids []string) Placement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -44,7 +45,11 @@
 	taken := map[string]bool{}
 	for _, f := range suspects {
 		ranked := mprank.Of(uint64(f), ids)
-		id := ranked[max(slices.IndexFunc(ranked, func(id string) bool { return !taken[id] }), 0)]
+		i := slices.IndexFunc(ranked, func(id string) bool { return !taken[id] })
+		if i < 0 {
+			break
+		}
+		id := ranked[i]
 		p.upstreams[f], taken[id] = id, true
 		r := l.records[f]
 		if now.Sub(r.knownSince(r.level())) < isolationPeriod && 2*(len(p.spared)+1) <= len(ids) {
