mpproxy: Try suspects on warm upstreams only

A cold upstream takes requests of a few VMs only, so the trial of a suspect that fell on one was refused at all others, and its requests waited until the cold start was over. The time that a refusal names is measured with the proxy's clock.

--- a/core/request/mpproxy/quarantine.go
+++ b/core/request/mpproxy/quarantine.go
@@ -63,7 +63,7 @@
 // refuseConvicted refuses a request that has not run and never will, because of a feature
 // that crashes upstreams.
 func (e *exchange) refuseConvicted(v mpquarantine.Verdict) {
-	retryAfter := max(time.Until(v.Until), minRetryAfter)
+	retryAfter := max(v.Until.Sub(e.p.cfg.Clock()), minRetryAfter)
 	if v.Until.IsZero() {
 		retryAfter = mpquarantine.ConvictionTTL
 	}
@@ -133,11 +133,13 @@
 	candidates := slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
 		return slices.Contains(e.pickInfo.Exclude, c.Row.ID)
 	})
-	ids := make([]string, len(candidates))
-	for i, c := range candidates {
-		ids[i] = c.Row.ID
+	var warm []string
+	for _, c := range candidates {
+		if !now.Before(c.ColdUntil) {
+			warm = append(warm, c.Row.ID)
+		}
 	}
-	place := e.p.cfg.Quarantine.Place(now, ids)
+	place := e.p.cfg.Quarantine.Place(now, warm)
 	isMeant := func(c mpselect.Candidate) bool {
 		return t.feature != 0 && c.Row.ID == place.Upstream(t.feature) || t.feature == 0 && !place.Spares(c.Row.ID)
 	}
--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -15,6 +15,7 @@
 
 	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/request/mpquarantine"
+	"mustardpost.org/core/version/mplist"
 )
 
 // evidence records what a VM hands on.
@@ -182,6 +183,25 @@
 			checkAnswer(t, answer{Status: 200, Body: events, Sent: 2}, r.serve(t.Context(), promptRequest("r1", "x")))
 		})
 	})
+	t.Run("a suspect is not tried on a cold upstream", func(t *testing.T) {
+		for _, cold := range []string{"u1", "u2"} {
+			synctest.Test(t, func(t *testing.T) {
+				r, _, _ := newQuarantineHarness(t, stream)
+				r.raise("x", mpquarantine.Suspect)
+				rows := []mplist.Row{{ID: "u1", Pool: "app", Address: "10.0.0.1:80", DC: "a"}, {ID: "u2", Pool: "app", Address: "10.0.0.2:80", DC: "a"}}
+				for i := range rows {
+					if rows[i].ID == cold {
+						rows[i].ColdMs = 5000
+					}
+				}
+				r.p.cfg.State = staticState{r.p.cfg.State.Table(), mplist.New(time.Now(), rows)}
+				checkAnswer(t, answer{Status: 200, Body: events, Sent: 1}, r.serve(t.Context(), promptRequest("r1", "x")))
+				if got := r.transport.sent()[0].URL.Host; got == map[string]string{"u1": "10.0.0.1:80", "u2": "10.0.0.2:80"}[cold] {
+					t.Errorf("the trial went to the cold upstream at %s", got)
+				}
+			})
+		}
+	})
 	t.Run("a crash in a trial ends the waiting", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			r, e, p := newQuarantineHarness(t, reply{status: 200, truncate: true, delay: 300 * time.Millisecond})
