--- a/core/request/mpquarantine/pattern_test.go
+++ b/core/request/mpquarantine/pattern_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 
 	"mustardpost.org/core/common/mprank"
@@ -272,7 +274,15 @@
 // Loads with requests that crash upstreams, and with upstreams that end for other reasons.
 // Each pattern names what it stands for; evidence must convict the one part that crashes
 // upstreams, in time, and no other.
+// SEEDS is the number of random runs of each pattern.
 func TestPatterns(t *testing.T) {
+	seeds := uint64(20)
+	if text := os.Getenv("SEEDS"); text != "" {
+		var err error
+		if seeds, err = strconv.ParseUint(text, 10, 32); err != nil {
+			t.Fatal(err)
+		}
+	}
 	one := func(r *rand.Rand) []int { return []int{r.IntN(simUpstreams)} }
 	zone := func(r *rand.Rand) []int { z := 4 * r.IntN(3); return []int{z, z + 1, z + 2, z + 3} }
 	for name, p := range map[string]pattern{
@@ -296,7 +306,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			crashes, sound, sent := 0, 0, 0
-			for seed := range uint64(20) {
+			for seed := range seeds {
 				s := simulate(seed, p)
 				if n := s.lateSent(); n > maxLateSent {
 					t.Errorf("seed %d: %d requests were sent later than %d ms after crash %d", seed, n, contact, crashLimit)
@@ -304,7 +314,7 @@
 				s.checkConvicted(t, seed, p.bad)
 				crashes, sound, sent = crashes+len(s.crashes), sound+s.sound, sent+s.soundSent
 			}
-			t.Logf("%.1f upstreams crashed; %.3f of the sound requests were answered", float64(crashes)/20, float64(sound)/float64(sent))
+			t.Logf("%.1f upstreams crashed; %.3f of the sound requests were answered", float64(crashes)/float64(seeds), float64(sound)/float64(sent))
 		})
 	}
 }
