--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -298,6 +298,7 @@
 }
 
 func (g *Gateway) onView(now time.Time, old, next *mpview.View) {
+	g.updateQuarantine(now, next) // Before the first plan lets this VM serve.
 	if r := next.Routing(); r.Version != old.Routing().Version {
 		table, err := g.cfg.DecodePlan(r)
 		if err != nil {
@@ -308,7 +309,6 @@
 		g.table.Store(table)
 		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision())
 	}
-	g.updateQuarantine(now, next)
 	var serving []string
 	for _, vm := range next.Serving() {
 		serving = append(serving, vm.Name)
