--- a/core/request/mpquarantine/ledger.go
+++ b/core/request/mpquarantine/ledger.go
@@ -27,6 +27,9 @@
 	// requests with a feature, the feature is not convicted.
 	outageWindow = time.Second
 	outageLimit  = 2
+	// suspectedTogether is the time within which features count as suspected together, since
+	// VMs learn of the same crash at different times.
+	suspectedTogether = 500 * time.Millisecond
 )
 
 // record is the evidence against a feature.
@@ -230,12 +233,9 @@
 	if len(suspects) == 0 {
 		return raised, nil
 	}
-	// Only one rises, since the others may be innocent: the one that was suspected first, or
-	// else the narrowest.
-	slices.SortStableFunc(suspects, func(f, g Feature) int {
-		return l.records[f].knownSince(Suspect).Compare(l.records[g].knownSince(Suspect))
-	})
-	f := suspects[0]
+	// Only one rises, since the others may be innocent.
+	i := l.firstSuspected(suspects)
+	f := suspects[i]
 	switch {
 	case l.isOutage(now, f):
 		return raised, nil
@@ -254,7 +254,7 @@
 	r.learn(now, StrongSuspect)
 	r.learn(now, Convicted)
 	r.until = now.Add(ConvictionTTL)
-	r.companions = suspects[1:]
+	r.companions = slices.Delete(suspects, i, i+1)
 	return append(raised, Finding{f, Convicted}), l.explainAway(now, f)
 }
 
@@ -270,6 +270,14 @@
 	})
 }
 
+// firstSuspected returns the index of the narrowest of those suspects, given with the
+// narrowest first, that were suspected together before the others.
+func (l *Ledger) firstSuspected(suspects []Feature) int {
+	since := func(f Feature) time.Time { return l.records[f].knownSince(Suspect) }
+	first := since(slices.MinFunc(suspects, func(f, g Feature) int { return since(f).Compare(since(g)) }))
+	return slices.IndexFunc(suspects, func(f Feature) bool { return since(f).Sub(first) < suspectedTogether })
+}
+
 func (l *Ledger) recordEnd(now time.Time, c Crash) *end {
 	for id, e := range l.ends {
 		if now.Sub(e.at) > outageWindow {
--- a/core/request/mpquarantine/ledger_test.go
+++ b/core/request/mpquarantine/ledger_test.go
@@ -120,6 +120,15 @@
 		crash(l, 4000, request(8, "bad", "new"))
 		checkLevels(t, l, 4000, map[string]Level{"bad": Convicted, "own": Clear})
 	})
+	t.Run("a wide suspect that came a little before a narrow one does not rise first", func(t *testing.T) {
+		l := New()
+		crash(l, 1000, request(1, "all", "bad"))
+		l.RecordCrash(at(2000), Crash{Upstream: "u", SentAt: at(1900), Traits: request(2, "all")})
+		l.RecordCrash(at(2100), Crash{Upstream: "v", SentAt: at(1950), Traits: request(3, "all", "bad")})
+		checkLevels(t, l, 2100, map[string]Level{"all": Suspect, "bad": Suspect})
+		crash(l, 3000, request(4, "all", "bad"))
+		checkLevels(t, l, 3000, map[string]Level{"all": Suspect, "bad": Convicted})
+	})
 	t.Run("one upstream convicts one feature", func(t *testing.T) {
 		l := New()
 		for ms := 1000; ms <= 2000; ms += 1000 {
