mpupstream: Do not take the beginning of a JSON number for a whole response

A response that ends with its connection counted as complete if it was JSON, but the beginning of a number is a number too: 12 of 123 was passed on as an answer. It must be an object or an array now. The case "number that may be broken off" of TestEndOfResponse failed before. mpproxy asks the same function whether a response ends with its connection, in place of a copy.

--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -121,7 +121,7 @@
 }
 
 // Do sends call and returns the complete response. A response that ends with its connection
-// is complete only if it is JSON. Refusals for overload (429 and
+// is complete only if it is a JSON object or array. Refusals for overload (429 and
 // 503) and other statuses of 500 and above are a Failure; the rest are a Response.
 func (c *Client) Do(ctx context.Context, call Call) (Response, *Failure) {
 	resp, sent, fail := c.start(ctx, call)
@@ -136,7 +136,7 @@
 	if len(body) > maxResponseBytes {
 		return Response{}, &Failure{Sent: true, Err: mperror.Wrap(mperror.ErrBadResponse, "longer than %d bytes", maxResponseBytes)}
 	}
-	if endsWithConnection(resp) && !json.Valid(body) {
+	if EndsWithConnection(resp) && !isDelimited(body) {
 		err := mperror.Wrap(mperror.ErrBadResponse, "%d bytes without a length, chunks or an end of their own", len(body))
 		return Response{}, &Failure{Sent: true, Err: err}
 	}
@@ -149,12 +149,19 @@
 	}, nil
 }
 
-// endsWithConnection reports whether only the end of the connection marks the end of the
+// EndsWithConnection reports whether only the end of the connection marks the end of the
 // response, which is the same whether the upstream was done or died.
-func endsWithConnection(resp *http.Response) bool {
+func EndsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// isDelimited reports whether body is a JSON object or array. The beginning of a number can
+// be a number too.
+func isDelimited(body []byte) bool {
+	text := bytes.TrimLeft(body, " \t\r\n")
+	return (bytes.HasPrefix(text, []byte("{")) || bytes.HasPrefix(text, []byte("["))) && json.Valid(body)
+}
+
 // start sends call and checks the status and header of the response.
 func (c *Client) start(ctx context.Context, call Call) (*http.Response, *atomic.Bool, *Failure) {
 	sent := &atomic.Bool{}
--- a/core/connection/mpupstream/mpupstream_test.go
+++ b/core/connection/mpupstream/mpupstream_test.go
@@ -188,6 +188,7 @@
 		"text that ends with its connection": {head + "\r\nwho", mperror.ErrBadResponse},
 		"JSON that ends with its connection": {head + "\r\n{\"a\":[1,2]}", nil},
 		"JSON that is broken off":            {head + "\r\n{\"a\":[1,", mperror.ErrBadResponse},
+		"number that may be broken off":      {head + "\r\n12", mperror.ErrBadResponse},
 		"nothing, and the connection ends":   {head + "\r\n", mperror.ErrBadResponse},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/request/mpproxy/framing.go
+++ b/core/request/mpproxy/framing.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/request/mpselect"
 )
 
@@ -26,10 +27,10 @@
 	switch {
 	case method == http.MethodHead:
 		return noBody
+	case mpupstream.EndsWithConnection(resp):
+		return byClose
 	case len(resp.TransferEncoding) > 0:
 		return byChunks
-	case resp.ContentLength < 0:
-		return byClose
 	default:
 		return byLength
 	}
