--- a/core/process/mpgateway/evidence_test.go
+++ b/core/process/mpgateway/evidence_test.go
@@ -47,6 +47,7 @@
 	}
 }
 
+// Guards against evidence that the other VMs do not get, or that outlasts what it says.
 func TestEvidenceIsHandedOn(t *testing.T) {
 	feature := mpquarantine.PartFeature("x")
 	run := func(t *testing.T, failures int, f func(r *replicated, e *evidence)) {
--- a/core/request/mpquarantine/ledger_test.go
+++ b/core/request/mpquarantine/ledger_test.go
@@ -44,6 +44,8 @@
 	}
 }
 
+// Guards against blaming what requests that crash upstreams share with sound ones, and
+// against not blaming what only they have in common.
 func TestEvidence(t *testing.T) {
 	t.Run("three rounds convict a part", func(t *testing.T) {
 		l := New()
@@ -163,6 +165,7 @@
 	return out
 }
 
+// Guards against a VM that judges otherwise than the evidence of the others says.
 func TestStrikes(t *testing.T) {
 	t.Run("a VM learns from the view", func(t *testing.T) {
 		l := New()
@@ -205,6 +208,7 @@
 	})
 }
 
+// Guards against two trials of a suspect at once, and against none after the first.
 func TestTrials(t *testing.T) {
 	l, f := New(), PartFeature("x")
 	done, busy := l.BeginTrial(f)
@@ -223,6 +227,7 @@
 	}
 }
 
+// Guards against memory that grows with the number of crashes or of parts.
 func TestBounds(t *testing.T) {
 	l := New()
 	for i := range 3 * maxRecords {
