mpproxy, mplog: Log the trials of requests that may crash upstreams

Each trial now has a line with its feature, the level before it, the upstream and how it ended. explain adds the trials of a feature to a request that was refused for it, so the regression test of that explanation has a line more.

--- a/core/process/mplog/timeline.go
+++ b/core/process/mplog/timeline.go
@@ -31,6 +31,9 @@
 // Refusals name the same feature.
 const MsgCrashEvidence = "crash evidence"
 
+// MsgTrial is the message of lines about a request that was sent as the trial of a feature.
+const MsgTrial = "trial"
+
 // Field is a key and its value.
 type Field struct {
 	Key   string `json:"key"`
@@ -77,7 +80,7 @@
 				t.Lines = append(t.Lines, l)
 			case l.Msg == "batch":
 				calls = append(calls, l)
-			case l.Msg == MsgCrashEvidence:
+			case l.Msg == MsgCrashEvidence, l.Msg == MsgTrial:
 				evidence = append(evidence, l)
 			case l.Msg == "log lines dropped":
 				drops = append(drops, l)
@@ -168,7 +171,8 @@
 	}
 }
 
-// addEvidence adds the evidence against the features for which the request was refused.
+// addEvidence adds the evidence against the features for which the request was refused, and
+// their trials.
 func (t *Timeline) addEvidence(evidence []Line) {
 	for _, l := range slices.Clone(t.Lines) {
 		for _, e := range evidence {
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -16,6 +16,7 @@
 
 	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/common/mptime"
+	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -133,6 +134,10 @@
 	}
 	e.endTrial = t.end
 	result, why := e.attempt(ctx, row, e.timeLeft(), last)
+	if t.feature != 0 {
+		_ = level.Info(e.p.cfg.Logger).Log("msg", mplog.MsgTrial, "id", e.r.ID, "upstream", row.ID, "feature", t.feature,
+			"name", nameOf(e.r, t.feature), "was", t.level, "ended", result, "sound", e.isSound, "took", e.p.cfg.Clock().Sub(e.sentAt))
+	}
 	e.pickInfo.Exclude = append(e.pickInfo.Exclude, row.ID)
 	return result, why, true
 }
--- a/core/request/mpproxy/quarantine.go
+++ b/core/request/mpproxy/quarantine.go
@@ -72,9 +72,10 @@
 }
 
 // trial is the permission to send a request. If feature is not 0, the request is sent as
-// the trial of that feature.
+// the trial of that feature, whose level is that before the trial.
 type trial struct {
 	feature mpquarantine.Feature
+	level   mpquarantine.Level
 	end     func()
 }
 
@@ -105,7 +106,7 @@
 		end, busy := e.p.cfg.Quarantine.BeginTrial(v.Feature)
 		if busy == nil {
 			e.p.cfg.Metrics.Add("quarantine.trials", 1)
-			return trial{v.Feature, end}, v, true
+			return trial{v.Feature, v.Level, end}, v, true
 		}
 		select {
 		case <-busy:
--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -278,6 +278,7 @@
 	feature := mpid.Hex(uint64(mpquarantine.PartFeature("bad")))
 	checkExplained(t, []string{
 		"a crash evidence upstream=" + r.upstreamOf(0) + " feature=" + feature + " became=convicted",
+		"a trial upstream=" + r.upstreamOf(0) + " ended=broken feature=" + feature,
 		"a request status=503 reason=crashes upstreams, feature " + feature + ": part bad plan=2",
 	}, explain(t, "r2", r))
 }
