mpquarantine, mpproxy, mpgateway: Permit trials over all VMs, try noted content

Cause: repeats that come together were one round of evidence, since requests that were sent before the last level was known raise nothing; without the head of an answer four rounds are needed, each of which may end the whole pool. And each VM counted its own trials, so that several tried at once.

Change: each feature has an arbiter, the first VM that serves in its order, which permits one trial at a time over all VMs (RPC Try). The call carries what both VMs know of the feature, so that trials convict without a leader. Content is tried from its first round on; a loss in that trial makes it a strong suspect, and the next one convicts. An answer speaks for a content for 2.5 s at least, at the VM that had it. A pause of 50 to 150 ms before the trial of a suspect keeps periodic ends of upstreams out of it.

It works because after a first burst, however large, only one request with the content is at an upstream at any time, and two losses in a row convict: two more upstreams at most, whatever the number of VMs and callers.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +110,7 @@
 	proxy        *mpproxy.Proxy
 	quarantine   *mpquarantine.Ledger
 	evidence     *evidence
+	trials       *trials
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -156,6 +158,9 @@
 		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.evidence = newEvidence(func(ctx context.Context, op mpview.Op) error { return g.propose(ctx, systemName, op) }, g.member.Current, cfg.Logger)
+	g.trials = &trials{
+		vm: cfg.VM, view: g.member.Current, dial: g.client.Stub, ledger: g.quarantine, arbiter: mpquarantine.NewArbiter(), logger: cfg.Logger,
+	}
 	g.proxy = mpproxy.New(mpproxy.Config{
 		DC:            cfg.DC,
 		State:         g,
@@ -166,6 +171,7 @@
 		Transport:     cfg.Transport,
 		Quarantine:    g.quarantine,
 		Evidence:      g.evidence,
+		Trials:        g.trials,
 		Prober:        mpupstream.NewProber(cfg.LocalIP),
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
@@ -216,6 +222,11 @@
 	return &mpwire.FreeReply{}, nil
 }
 
+// Try permits or ends the trial of a request that may crash upstreams.
+func (p peer) Try(_ context.Context, r *mpwire.TryRequest) (*mpwire.TryReply, error) {
+	return p.gateway.trials.serve(time.Now(), r), nil
+}
+
 // Run takes part in the deployment until ctx is done, or returns the error of a
 // component that cannot continue. When leave is done, it stops waiting for other voters.
 func (g *Gateway) Run(ctx, leave context.Context) error {
@@ -309,11 +320,11 @@
 		g.table.Store(table)
 		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision())
 	}
-	var serving []string
-	for _, vm := range next.Serving() {
-		serving = append(serving, vm.Name)
-	}
+	serving := vmNames(next.Serving())
 	g.selector.SetPeers(serving)
+	if !slices.Equal(serving, vmNames(old.Serving())) {
+		g.trials.arbiter.Pause(now)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view = next
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -105,7 +105,7 @@
 			}
 		}
 		// Evidence of another VM's trial on the same upstream may be on its way.
-		if ctx.Err() != nil || t.feature != 0 && !mptime.Sleep(ctx, trialPause) {
+		if ctx.Err() != nil || t.isIsolated() && !mptime.Sleep(ctx, trialPause) {
 			break
 		}
 	}
@@ -124,26 +124,23 @@
 // send makes one attempt, which ends the trial. It returns false, and what to add to the
 // reason, if no attempt is possible.
 func (e *exchange) send(ctx context.Context, t trial, last bool) (attemptResult, string, bool) {
-	defer t.end()
 	if e.sends > 0 && !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
+		t.end(false)
 		return refused, "; retry budget exhausted", false
 	}
 	row, ok := e.pick(t)
 	if !ok {
+		t.end(false)
 		return refused, "", false
 	}
 	e.endTrial = t.end
-	result, why := e.attempt(ctx, row, e.timeLeft(), last)
-	if t.feature != 0 {
-		_ = level.Info(e.p.cfg.Logger).Log("msg", mplog.MsgTrial, "id", e.r.ID, "upstream", row.ID, "feature", t.feature,
-			"name", nameOf(e.r, t.feature), "was", t.level, "ended", result, "sound", e.isSound, "took", e.p.cfg.Clock().Sub(e.sentAt))
-	}
+	result, why := e.attempt(ctx, row, t, e.timeLeft(), last)
 	e.pickInfo.Exclude = append(e.pickInfo.Exclude, row.ID)
 	return result, why, true
 }
 
 // attempt sends the request to one upstream and forwards the response.
-func (e *exchange) attempt(ctx context.Context, row mplist.Row, timeout time.Duration, last bool) (attemptResult, string) {
+func (e *exchange) attempt(ctx context.Context, row mplist.Row, t trial, timeout time.Duration, last bool) (attemptResult, string) {
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream = row.ID
@@ -157,7 +154,13 @@
 	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
-		e.recordLoss(row)
+		e.recordLoss(row, t)
+	} else {
+		t.end(result == failed)
+	}
+	if t.feature != 0 {
+		_ = level.Info(e.p.cfg.Logger).Log("msg", mplog.MsgTrial, "id", e.r.ID, "upstream", row.ID, "feature", t.feature,
+			"name", nameOf(e.r, t.feature), "was", t.level, "ended", result, "sound", e.isSound, "took", now.Sub(e.sentAt))
 	}
 	return result, why
 }
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -60,9 +60,11 @@
 	Budget    func(pool string) *mpbudget.Budget
 	Transport http.RoundTripper
 	// Quarantine holds the evidence against requests that crash upstreams. Evidence hands on
-	// what is added to it, and Prober tests upstreams that broke off an attempt.
+	// what is added to it, Trials permits trials, and Prober tests upstreams that broke off an
+	// attempt.
 	Quarantine *mpquarantine.Ledger
 	Evidence   CrashEvidence
+	Trials     Trials
 	Prober     Prober
 	Metrics    *mpmetric.Set
 	Logger     log.Logger
@@ -120,7 +122,7 @@
 	beganAt time.Time
 	isSound bool
 	// endTrial ends the trial as which the last attempt was sent, if it was one.
-	endTrial       func()
+	endTrial       func(lost bool)
 	stagesDuration time.Duration
 	// timeToHeader and timeToFirstEvent are measured from the sending of the attempt.
 	timeToHeader     time.Duration
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,6 +160,18 @@
 func (noEvidence) Raise([]mpquarantine.Finding) {}
 func (noEvidence) Clear([]mpquarantine.Feature) {}
 
+// soleArbiter permits the trials of a VM that is alone.
+type soleArbiter struct {
+	arbiter *mpquarantine.Arbiter
+	last    atomic.Uint64
+}
+
+func (s *soleArbiter) Begin(_ context.Context, f mpquarantine.Feature) (mpquarantine.Permission, func(lost bool), error) {
+	token := s.last.Add(1)
+	p := s.arbiter.Begin(time.Now(), f, token)
+	return p, func(lost bool) { s.arbiter.End(time.Now(), f, token, lost) }, nil
+}
+
 // upProber is a Prober for upstreams of which those in down have ended.
 type upProber struct {
 	mu   sync.Mutex
@@ -212,7 +225,8 @@
 	r.p = New(Config{
 		DC: "a", State: staticState{table, list}, Dialect: fakeDialect{}, StageExecutor: r.executor,
 		Selector: mpselect.New(mpselect.Config{VM: "v"}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
+		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
+		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	return r
 }
--- a/core/request/mpproxy/quarantine.go
+++ b/core/request/mpproxy/quarantine.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
@@ -25,6 +28,8 @@
 	trialPause = 300 * time.Millisecond
 	// probePause is the time between two probes of an upstream whose connection was lost.
 	probePause = 150 * time.Millisecond
+	// arbiterRetry is when a request asks again for a trial after the arbiter did not answer.
+	arbiterRetry = 100 * time.Millisecond
 )
 
 // CrashEvidence hands on to the other VMs what this VM learned about crashes.
@@ -71,51 +76,89 @@
 	e.refuse(http.StatusServiceUnavailable, retryAfter, "crashes upstreams, feature "+v.Feature.String(), nameOf(e.r, v.Feature))
 }
 
+// Trials permits the trials of features, one at a time over all VMs.
+type Trials interface {
+	// Begin asks for a trial of f. If it is granted, end must be called once the trial's
+	// evidence is recorded; lost is set if it was not answered.
+	Begin(ctx context.Context, f mpquarantine.Feature) (p mpquarantine.Permission, end func(lost bool), err error)
+}
+
 // trial is the permission to send a request. If feature is not 0, the request is sent as
 // the trial of that feature, whose level is that before the trial.
 type trial struct {
 	feature mpquarantine.Feature
 	level   mpquarantine.Level
-	end     func()
+	// end must be called once; lost is set if the request was sent and not answered.
+	end func(lost bool)
 }
 
+// isIsolated reports whether the trial goes to an upstream that other requests spare.
+func (t trial) isIsolated() bool { return t.level > mpquarantine.Noted }
+
 // awaitTrial waits until the request may be sent. It returns false if that is not to be
 // expected in time; the verdict says why.
 func (e *exchange) awaitTrial(ctx context.Context) (trial, mpquarantine.Verdict, bool) {
-	timeout := time.NewTimer(min(trialTimeout, e.timeLeft()/2))
-	defer timeout.Stop()
+	until := e.p.cfg.Clock().Add(min(trialTimeout, e.timeLeft()/2))
+	paused := false
 	for {
-		v := e.p.cfg.Quarantine.Judge(e.p.cfg.Clock(), e.traits)
-		switch v.Level {
-		case mpquarantine.Convicted:
+		now := e.p.cfg.Clock()
+		v := e.p.cfg.Quarantine.Judge(now, e.traits)
+		var wait time.Duration
+		switch sinceKnown := now.Sub(v.Since); {
+		case v.Level == mpquarantine.Convicted:
 			return trial{}, v, false
-		case mpquarantine.Clear, mpquarantine.Noted:
-			return trial{end: func() {}}, v, true
-		case mpquarantine.Suspect, mpquarantine.StrongSuspect:
-		}
-		if wait := mpquarantine.TrialDelay - e.p.cfg.Clock().Sub(v.Since); wait > 0 {
-			select {
-			case <-time.After(wait):
-				continue
-			case <-timeout.C:
-				return trial{}, v, false
-			case <-ctx.Done():
-				return trial{}, v, false
+		case !v.NeedsTrial:
+			return trial{end: func(bool) {}}, v, true
+		case v.Level > mpquarantine.Noted && sinceKnown < mpquarantine.TrialDelay:
+			wait = mpquarantine.TrialDelay - sinceKnown
+		case v.Level > mpquarantine.Noted && !paused:
+			wait, paused = mpquarantine.TrialPause(rand.Float64()), true
+		default:
+			var t trial
+			if t, wait = e.beginTrial(ctx, v, until.Sub(now)); t.end != nil {
+				return t, v, true
 			}
 		}
-		end, busy := e.p.cfg.Quarantine.BeginTrial(v.Feature)
-		if busy == nil {
-			e.p.cfg.Metrics.Add("quarantine.trials", 1)
-			return trial{v.Feature, v.Level, end}, v, true
+		if e.p.cfg.Clock().Add(wait).After(until) || !mptime.Sleep(ctx, wait) {
+			return trial{}, v, false
 		}
+	}
+}
+
+// beginTrial asks for the trial of a feature, once the requests of this VM that asked before
+// are done. If the trial is not granted, it returns when to look again.
+func (e *exchange) beginTrial(ctx context.Context, v mpquarantine.Verdict, timeout time.Duration) (trial, time.Duration) {
+	free, busy := e.p.cfg.Quarantine.BeginTrial(v.Feature)
+	if busy != nil {
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
 		select {
 		case <-busy:
-		case <-timeout.C:
-			return trial{}, v, false
+		case <-timer.C:
 		case <-ctx.Done():
-			return trial{}, v, false
 		}
+		return trial{}, 0
+	}
+	p, end, err := e.p.cfg.Trials.Begin(ctx, v.Feature)
+	switch {
+	case err != nil && v.Level == mpquarantine.Noted:
+		free()
+		return trial{end: func(bool) {}}, 0 // The upstream may have ended for any reason.
+	case err != nil:
+		free()
+		return trial{}, arbiterRetry
+	case !p.Granted:
+		free()
+		return trial{}, p.Wait
 	}
+	e.p.cfg.Metrics.Add("quarantine.trials", 1)
+	var once sync.Once
+	return trial{v.Feature, v.Level, func(lost bool) {
+		once.Do(func() {
+			end(lost)
+			free()
+		})
+	}}, 0
 }
 
 // respondQuarantined ends a request that may not be sent.
@@ -127,7 +170,7 @@
 	e.respondUnanswered(ctx, v.Level.String()+": "+nameOf(e.r, v.Feature)+", feature "+v.Feature.String())
 }
 
-// pick selects an upstream to which the request was not sent before. Trials of a feature go
+// pick selects an upstream to which the request was not sent before. Trials of a suspect go
 // to the same upstream from all VMs, which other requests spare for a while.
 func (e *exchange) pick(t trial) (mplist.Row, bool) {
 	now := e.p.cfg.Clock()
@@ -142,21 +185,25 @@
 	}
 	place := e.p.cfg.Quarantine.Place(now, warm)
 	isMeant := func(c mpselect.Candidate) bool {
-		return t.feature != 0 && c.Row.ID == place.Upstream(t.feature) || t.feature == 0 && !place.Spares(c.Row.ID)
+		if t.isIsolated() {
+			return c.Row.ID == place.Upstream(t.feature)
+		}
+		return !place.Spares(c.Row.ID)
 	}
 	meant := slices.DeleteFunc(slices.Clone(candidates), func(c mpselect.Candidate) bool { return !isMeant(c) })
-	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok || t.feature != 0 {
+	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok || t.isIsolated() {
 		return row, ok
 	}
 	return e.p.cfg.Selector.Pick(now, candidates, e.pickInfo)
 }
 
 // recordLoss tests whether an upstream that broke off an attempt has ended. If it has, the
-// features of the request are evidence.
-func (e *exchange) recordLoss(row mplist.Row) {
-	crash := mpquarantine.Crash{Upstream: row.ID, SentAt: e.sentAt, HasHead: e.framing != noBody, Traits: e.traits}
+// features of the request are evidence. It ends the trial after that.
+func (e *exchange) recordLoss(row mplist.Row, t trial) {
+	crash := mpquarantine.Crash{Upstream: row.ID, SentAt: e.sentAt, HasHead: e.framing != noBody, Trial: t.feature, Traits: e.traits}
 	if e.p.cfg.Prober.IsDown(context.Background(), row.Address) {
 		e.p.recordCrash(e.r, crash)
+		t.end(true)
 		return
 	}
 	// Its connections may be closed before it stops listening.
@@ -164,6 +211,7 @@
 		if e.p.cfg.Prober.IsDown(context.Background(), row.Address) {
 			e.p.recordCrash(e.r, crash)
 		}
+		t.end(true)
 	})
 }
 
@@ -185,7 +233,7 @@
 	}
 	e.isSound = true
 	e.p.clear(e.r, e.p.cfg.Quarantine.RecordSound(e.p.cfg.Clock(), e.beganAt, e.traits), "answered")
-	e.endTrial()
+	e.endTrial(false)
 }
 
 func (p *Proxy) clear(r *Request, features []mpquarantine.Feature, why string) {
--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -240,6 +240,71 @@
 	})
 }
 
+// silentArbiter does not answer.
+type silentArbiter struct{}
+
+func (silentArbiter) Begin(context.Context, mpquarantine.Feature) (mpquarantine.Permission, func(lost bool), error) {
+	return mpquarantine.Permission{}, nil, errLost
+}
+
+// note records that an upstream ended under a request with the content of q.
+func (r *harness) note(q *Request) {
+	now := time.Now()
+	r.p.cfg.Quarantine.RecordCrash(now, mpquarantine.Crash{Upstream: "other", SentAt: now.Add(-time.Millisecond), Traits: traitsOf(q)})
+}
+
+// Guards against several requests with the same content that are sent at once after a first
+// one ended its upstream, and against refusing them where nobody can permit a trial.
+func TestNotedContent(t *testing.T) {
+	sent := func(t *testing.T, trials Trials, level mpquarantine.Level) (answered, refused int) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			slow := reply{status: 200, body: "whole", delay: 100 * time.Millisecond}
+			r, _, _ := newQuarantineHarness(t, slow, slow, slow)
+			r.p.cfg.Trials = trials
+			q := request("/read/")
+			r.note(q)
+			r.p.cfg.Quarantine.Learn(time.Now(), traitsOf(q).Content, level)
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			for range 3 {
+				wg.Go(func() {
+					w := httptest.NewRecorder()
+					r.p.Serve(t.Context(), w, request("/read/"))
+					mu.Lock()
+					defer mu.Unlock()
+					if w.Code == http.StatusOK {
+						answered++
+					} else {
+						refused++
+					}
+				})
+			}
+			<-time.After(50 * time.Millisecond)
+			if n := len(r.transport.sent()); n > 1 && trials != (silentArbiter{}) {
+				t.Errorf("%d requests were sent at once", n)
+			}
+			wg.Wait()
+		})
+		return answered, refused
+	}
+	t.Run("is sent one at a time until it is answered", func(t *testing.T) {
+		if answered, _ := sent(t, &soleArbiter{arbiter: mpquarantine.NewArbiter()}, mpquarantine.Noted); answered != 3 {
+			t.Errorf("%d of 3 requests were answered", answered)
+		}
+	})
+	t.Run("is sent as any other where the arbiter does not answer", func(t *testing.T) {
+		if answered, _ := sent(t, silentArbiter{}, mpquarantine.Noted); answered != 3 {
+			t.Errorf("%d of 3 requests were answered", answered)
+		}
+	})
+	t.Run("is refused as a suspect where the arbiter does not answer", func(t *testing.T) {
+		if _, refused := sent(t, silentArbiter{}, mpquarantine.Suspect); refused != 3 {
+			t.Errorf("%d of 3 requests were refused", refused)
+		}
+	})
+}
+
 // sent returns the requests that were sent so far.
 func (t *fakeTransport) sent() []*http.Request {
 	t.mu.Lock()
--- a/core/request/mpquarantine/ledger.go
+++ b/core/request/mpquarantine/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mustardpost.org/core/common/mpset"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -20,6 +21,9 @@
 	// clearedMemory is how long a feature that was cleared rises to Noted only. One that
 	// crashes upstreams is never cleared by an answer.
 	clearedMemory = 10 * time.Second
+	// answeredPeriod is the least time for which an answer speaks for a content. It is at most
+	// forgotten after twice that.
+	answeredPeriod = 2500 * time.Millisecond
 	// reclearWindow is how long after an answer cleared a feature evidence of other VMs
 	// against it is removed again, since they did not know of the answer.
 	reclearWindow = 2 * time.Second
@@ -86,6 +90,36 @@
 	}
 }
 
+// recent is a set of features that forgets each after one to two periods.
+type recent struct {
+	rotatedAt         time.Time
+	current, previous mpset.Set[Feature]
+}
+
+func (r *recent) rotate(now time.Time) {
+	switch age := now.Sub(r.rotatedAt); {
+	case age < answeredPeriod:
+		return
+	case age < 2*answeredPeriod:
+		r.previous = r.current
+	default:
+		r.previous = nil
+	}
+	r.current, r.rotatedAt = mpset.Set[Feature]{}, now
+}
+
+func (r *recent) add(now time.Time, f Feature) {
+	r.rotate(now)
+	if len(r.current) < maxMemory {
+		r.current.Add(f)
+	}
+}
+
+func (r *recent) has(now time.Time, f Feature) bool {
+	r.rotate(now)
+	return r.current.Has(f) || r.previous.Has(f)
+}
+
 // Ledger holds the evidence that this VM has. It is safe for concurrent use.
 type Ledger struct {
 	mu      sync.Mutex
@@ -93,10 +127,12 @@
 	// soundAt is when the last answer to a request with a feature began, clearedAt when the
 	// evidence against it was removed, and vindicatedAt when an answer from this VM did that.
 	soundAt, clearedAt, vindicatedAt memory
+	// answered holds the contents of requests that this VM had answers to lately.
+	answered recent
 	// ends holds the upstreams that ended within outageWindow, by ID.
 	ends map[string]*end
-	// trials holds the features that are being tried by this VM. The channel is closed at
-	// the end of the trial.
+	// trials holds the features that requests of this VM are tried for or ask to be. The
+	// channel is closed when the request is done.
 	trials map[Feature]chan struct{}
 }
 
@@ -138,7 +174,7 @@
 			r.until = time.UnixMilli(strike.Until)
 		}
 		switch {
-		case before < Suspect && r.level() >= Suspect && now.Sub(l.vindicatedAt[f]) < reclearWindow:
+		case before < Suspect && r.level() >= Suspect && (now.Sub(l.vindicatedAt[f]) < reclearWindow || l.answered.has(now, f)):
 			delete(l.records, f)
 			cleared = append(cleared, f)
 		case before < Convicted && r.level() == Convicted:
@@ -174,6 +210,13 @@
 	return out
 }
 
+// LevelOf returns the level of f at this VM.
+func (l *Ledger) LevelOf(now time.Time, f Feature) Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.levelOf(now, f)
+}
+
 func (l *Ledger) levelOf(now time.Time, f Feature) Level {
 	r, ok := l.records[f]
 	if !ok {
@@ -198,12 +241,32 @@
 	for _, f := range t.narrowFirst() {
 		if level := l.levelOf(now, f); level > v.Level {
 			r := l.records[f]
-			v = Verdict{Finding: Finding{f, level}, Since: r.knownSince(level), Until: r.until}
+			v = Verdict{
+				Finding: Finding{f, level}, NeedsTrial: level.isSuspect() || f == t.Content,
+				Since: r.knownSince(level), Until: r.until,
+			}
 		}
 	}
 	return v
 }
 
+// Learn adds what another VM told of the level of f. Evidence that the view does not have
+// within EvidenceTTL is dropped.
+func (l *Ledger) Learn(now time.Time, f Feature, level Level) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if level <= l.levelOf(now, f) || len(l.records) >= maxRecords || now.Sub(l.vindicatedAt[f]) < reclearWindow || l.answered.has(now, f) {
+		return
+	}
+	r := l.record(f)
+	for i := Noted; i <= level; i++ {
+		r.learn(now, i)
+	}
+	if level == Convicted {
+		r.until = now.Add(ConvictionTTL)
+	}
+}
+
 // RecordCrash adds the evidence of a crash. It returns the features whose level rises, which
 // the other VMs must learn of, and those that are cleared because a conviction explains
 // their evidence.
@@ -221,10 +284,14 @@
 		level := l.levelOf(now, f)
 		switch {
 		case level == Convicted,
-			level == Noted && now.Sub(l.clearedAt[f]) < clearedMemory,
+			level == Noted && f != c.Traits.Content && now.Sub(l.clearedAt[f]) < clearedMemory,
 			level > Clear && !c.SentAt.After(l.records[f].knownSince(level)):
-		case level.NeedsTrial():
+		case level.isSuspect():
 			suspects = append(suspects, f)
+		case level == Noted && f == c.Trial:
+			l.record(f).learn(now, Suspect)
+			l.record(f).learn(now, StrongSuspect)
+			raised = append(raised, Finding{f, StrongSuspect})
 		case level == Noted || len(l.records) < maxRecords:
 			l.record(f).learn(now, level+1)
 			raised = append(raised, Finding{f, level + 1})
@@ -258,15 +325,18 @@
 	return append(raised, Finding{f, Convicted}), l.explainAway(now, f)
 }
 
-// blamed returns the features that a crash speaks against. A part without evidence that was
-// answered lately is left out if another part was not.
+// blamed returns the features that a crash speaks against. Content that was answered lately is
+// left out, and so is a part without evidence if another part was not answered.
 func (l *Ledger) blamed(now time.Time, t Traits) []Feature {
 	isSound := func(f Feature) bool {
 		return l.levelOf(now, f) == Clear && now.Sub(l.soundAt[f]) < soundMemory
 	}
 	allSound := !slices.ContainsFunc(t.Parts, func(f Feature) bool { return !isSound(f) })
 	return slices.DeleteFunc(t.narrowFirst(), func(f Feature) bool {
-		return f != t.Content && !allSound && isSound(f)
+		if f == t.Content {
+			return l.answered.has(now, f)
+		}
+		return !allSound && isSound(f)
 	})
 }
 
@@ -323,12 +393,13 @@
 	for _, f := range t.Parts {
 		l.soundAt.add(now, beganAt, f)
 	}
+	l.answered.add(now, t.Content)
 	return cleared
 }
 
-// BeginTrial starts the trial of a suspect by this VM. The caller must call done at its end.
-// If a trial of the feature is in progress, it returns a channel instead that is closed at
-// the end of that one.
+// BeginTrial makes the caller the only request of this VM that asks for the trial of f or is
+// tried, until it calls done. If there is one already, BeginTrial returns a channel instead
+// that is closed when that one is done.
 func (l *Ledger) BeginTrial(f Feature) (done func(), busy <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/request/mpquarantine/mpquarantine.go
+++ b/core/request/mpquarantine/mpquarantine.go
@@ -6,7 +6,11 @@
 // A feature rises by one level for each round of evidence: an upstream that ended under a
 // request with it which was sent after the level before was known. Upstreams that end
 // together, for whatever reason, so count as one round. A suspected feature is tried with
-// one request at a time. An answer that begins after the last round clears the feature.
+// one request at a time, over all VMs. An answer that begins after the last round clears the
+// feature.
+//
+// Content is tried from its first round on, since only requests that are sent again have it
+// in common, and few upstreams may be left when the next ones come.
 package mpquarantine
 
 import (
@@ -28,20 +32,31 @@
 	// TrialDelay is how long after a feature became suspect it is first tried. By then the
 	// requests that were sent before have been answered, and the other VMs know.
 	TrialDelay = 400 * time.Millisecond
+	// minTrialPause and maxTrialPause limit the pause before a suspect is tried. Without it,
+	// upstreams that end at the interval at which a request is sent again end in its trials.
+	minTrialPause = 50 * time.Millisecond
+	maxTrialPause = 150 * time.Millisecond
 )
 
+// TrialPause returns the pause of a request before it is sent as the trial of a suspect, for a
+// random number in [0, 1).
+func TrialPause(random float64) time.Duration {
+	return minTrialPause + time.Duration(random*float64(maxTrialPause-minTrialPause))
+}
+
 // Level is how strongly a feature is believed to crash upstreams.
 type Level int
 
 const (
 	// Clear means that nothing speaks against the feature.
 	Clear Level = iota
-	// Noted features have one round of evidence. Their requests are treated as any other.
+	// Noted features have one round of evidence. Requests with a noted part are treated as any
+	// other, those with noted content are tried.
 	Noted
 	// Suspect features are tried with one request at a time.
 	Suspect
-	// StrongSuspect features are suspects that were tried once. The upstream ended, but
-	// without the head of an answer, so it may have ended for another reason.
+	// StrongSuspect features were tried once. The upstream ended, but without the head of an
+	// answer or in the trial of noted content, so it may have ended for another reason.
 	StrongSuspect
 	// Convicted features have their requests refused.
 	Convicted
@@ -63,8 +78,8 @@
 	}
 }
 
-// NeedsTrial reports whether requests with a feature at this level are sent one at a time.
-func (l Level) NeedsTrial() bool { return l == Suspect || l == StrongSuspect }
+// isSuspect reports whether the level is short of a conviction and beyond a first round.
+func (l Level) isSuspect() bool { return l == Suspect || l == StrongSuspect }
 
 // levelMask selects the bits of a strike's fingerprint that hold the level. The other bits
 // are those of the feature.
@@ -128,6 +143,8 @@
 // Verdict is the feature of a request with the highest level.
 type Verdict struct {
 	Finding
+	// NeedsTrial is set if the request must be sent as the only one with the feature.
+	NeedsTrial bool
 	// Since is when this VM learned of the level.
 	Since time.Time
 	// Until is when a conviction ends; zero if that is not known.
@@ -140,5 +157,7 @@
 	SentAt   time.Time
 	// HasHead is set if the head of an answer had arrived.
 	HasHead bool
-	Traits  Traits
+	// Trial is the feature that was tried with the attempt, if any.
+	Trial  Feature
+	Traits Traits
 }
--- a/core/request/mpquarantine/pattern_test.go
+++ b/core/request/mpquarantine/pattern_test.go
@@ -36,7 +36,8 @@
 	vm, sentAt int
 	parts      []string
 	traits     Traits
-	endTrial   func()
+	trial      Feature
+	endTrial   func(ms int, lost bool)
 }
 
 type simUpstream struct {
@@ -76,6 +77,9 @@
 	strikes   map[uint64]mpview.StrikeCount
 	pending   []change
 	sequence  uint64
+	token     uint64
+	// arbiter is that of all features, at the first VM.
+	arbiter *Arbiter
 
 	crashes, badSent []int
 	// sound and soundSent count requests without the bad part.
@@ -83,7 +87,7 @@
 }
 
 func simulate(seed uint64, p pattern) *simulation {
-	s := &simulation{pattern: p, r: rand.New(rand.NewPCG(seed, 1)), strikes: map[uint64]mpview.StrikeCount{}}
+	s := &simulation{pattern: p, r: rand.New(rand.NewPCG(seed, 1)), strikes: map[uint64]mpview.StrikeCount{}, arbiter: NewArbiter()}
 	for range simVMs {
 		s.vms = append(s.vms, New())
 	}
@@ -129,25 +133,25 @@
 func (s *simulation) send(ms int, parts []string) {
 	s.sequence++
 	vm := s.r.IntN(simVMs)
-	a := simAttempt{vm: vm, sentAt: ms, parts: parts, traits: request(s.sequence, parts...), endTrial: func() {}}
+	a := simAttempt{vm: vm, sentAt: ms, parts: parts, traits: request(s.sequence, parts...), endTrial: func(int, bool) {}}
 	isBad := s.isBad(ms, parts)
 	if !isBad {
 		s.soundSent++
 	}
 	var suspect Feature
-	switch v := s.vms[vm].Judge(at(ms), a.traits); v.Level {
-	case Convicted:
+	v := s.vms[vm].Judge(at(ms), a.traits)
+	switch {
+	case v.Level == Convicted:
 		return
-	case Suspect, StrongSuspect:
+	case v.NeedsTrial:
 		if at(ms).Sub(v.Since) < TrialDelay {
 			return
 		}
-		done, busy := s.vms[vm].BeginTrial(v.Feature)
-		if busy != nil {
+		end, ok := s.beginTrial(ms, vm, v.Feature)
+		if !ok {
 			return // Such a request waits; here it counts as refused.
 		}
-		a.endTrial, suspect = done, v.Feature
-	case Clear, Noted:
+		a.endTrial, suspect, a.trial = end, v.Feature, v.Feature
 	}
 	byID := map[string]*simUpstream{}
 	for _, u := range s.upstreams {
@@ -156,7 +160,7 @@
 		}
 	}
 	if len(byID) == 0 {
-		a.endTrial()
+		a.endTrial(ms, false)
 		return
 	}
 	ids := slices.Sorted(maps.Keys(byID))
@@ -167,7 +171,7 @@
 	}
 	u := byID[id]
 	if u == nil {
-		a.endTrial()
+		a.endTrial(ms, false)
 		return
 	}
 	u.running = append(u.running, a)
@@ -176,6 +180,20 @@
 	}
 }
 
+// beginTrial asks the arbiter for a trial by vm. What they know of the feature goes with it.
+func (s *simulation) beginTrial(ms, vm int, f Feature) (end func(ms int, lost bool), ok bool) {
+	s.token++
+	token := s.token
+	if !s.arbiter.Begin(at(ms), f, token).Granted {
+		return nil, false
+	}
+	s.vms[vm].Learn(at(ms), f, s.vms[0].levelOf(at(ms), f))
+	return func(ms int, lost bool) {
+		s.arbiter.End(at(ms), f, token, lost)
+		s.vms[0].Learn(at(ms), f, s.vms[vm].levelOf(at(ms), f))
+	}, true
+}
+
 // advance answers the requests of an upstream that are due.
 func (s *simulation) advance(ms int, u *simUpstream) {
 	for _, a := range u.running {
@@ -192,7 +210,7 @@
 		if cleared := s.vms[a.vm].RecordSound(at(ms), at(a.sentAt+firstByte), a.traits); len(cleared) > 0 {
 			s.pending = append(s.pending, change{at: ms + handOver, cleared: cleared})
 		}
-		a.endTrial()
+		a.endTrial(ms, false)
 		s.sound++
 		return true
 	})
@@ -203,11 +221,11 @@
 	for _, a := range u.running {
 		if ms-a.sentAt < firstByte+simStep {
 			c := Crash{Upstream: fmt.Sprint(u.id, u.downTill), SentAt: at(a.sentAt), Traits: a.traits}
-			c.HasHead = s.hasHead && slices.Contains(a.parts, s.bad)
+			c.HasHead, c.Trial = s.hasHead && slices.Contains(a.parts, s.bad), a.trial
 			raised, cleared := s.vms[a.vm].RecordCrash(at(ms), c)
 			s.pending = append(s.pending, change{ms + handOver, raised, cleared})
 		}
-		a.endTrial()
+		a.endTrial(ms, true)
 	}
 	u.running, u.downTill = nil, ms+restart
 }
--- a/core/request/mpquarantine/place.go
+++ b/core/request/mpquarantine/place.go
@@ -36,7 +36,7 @@
 	}
 	var suspects []Feature
 	for f, r := range l.records {
-		if r.level().NeedsTrial() {
+		if r.level().isSuspect() {
 			suspects = append(suspects, f)
 		}
 	}
--- a/core/request/mpquarantine/repeat_test.go
+++ b/core/request/mpquarantine/repeat_test.go
@@ -49,10 +49,12 @@
 // repeatAttempt is a request at an upstream, or one that waits for a trial.
 type repeatAttempt struct {
 	vm, content, arrivedAt, sentAt, sends int
-	traits                                Traits
-	exclude                               []string
-	trial                                 Feature
-	endTrial                              func()
+	// pause is how long the request waits before a trial.
+	pause    int
+	traits   Traits
+	exclude  []string
+	trial    Feature
+	endTrial func(ms int, lost bool)
 }
 
 type repeatUpstream struct {
@@ -65,8 +67,11 @@
 // repeatSim runs VMs with a ledger each, in steps of simStep.
 type repeatSim struct {
 	repeats
-	r         *rand.Rand
-	vms       []*Ledger
+	r   *rand.Rand
+	vms []*Ledger
+	// arbiter is that of the content, at the first VM.
+	arbiter   *Arbiter
+	token     uint64
 	upstreams []*repeatUpstream
 	strikes   map[uint64]mpview.StrikeCount
 	pending   []change
@@ -82,7 +87,7 @@
 }
 
 func simulateRepeats(seed uint64, p repeats) *repeatSim {
-	s := &repeatSim{repeats: p, r: rand.New(rand.NewPCG(seed, 2)), strikes: map[uint64]mpview.StrikeCount{}, lastSound: repeatedContent}
+	s := &repeatSim{repeats: p, r: rand.New(rand.NewPCG(seed, 2)), arbiter: NewArbiter(), strikes: map[uint64]mpview.StrikeCount{}, lastSound: repeatedContent}
 	for range simVMs {
 		s.vms = append(s.vms, New())
 	}
@@ -160,7 +165,8 @@
 }
 
 func (s *repeatSim) arrive(ms, content int) {
-	a := &repeatAttempt{vm: s.r.IntN(simVMs), content: content, arrivedAt: ms, traits: request(uint64(content)), endTrial: func() {}}
+	pause := int(TrialPause(s.r.Float64()).Milliseconds())
+	a := &repeatAttempt{vm: s.r.IntN(simVMs), content: content, arrivedAt: ms, pause: pause, traits: request(uint64(content)), endTrial: func(int, bool) {}}
 	if content == repeatedContent {
 		s.repeated++
 	} else {
@@ -177,26 +183,34 @@
 			s.lost, s.lostAt = append(s.lost, func(ms int) { s.try(ms, a) }), append(s.lostAt, ms+repeatPoll)
 		}
 	}
-	a.trial, a.endTrial = 0, func() {}
-	switch v := l.Judge(at(ms), a.traits); v.Level {
-	case Convicted:
+	a.trial, a.endTrial = 0, func(int, bool) {}
+	v := l.Judge(at(ms), a.traits)
+	switch {
+	case v.Level == Convicted:
 		return
-	case Suspect, StrongSuspect:
-		if at(ms).Sub(v.Since) < TrialDelay {
+	case v.NeedsTrial:
+		if v.Level > Noted && (at(ms).Sub(v.Since) < TrialDelay || ms < a.arrivedAt+a.pause) {
 			wait()
 			return
 		}
-		done, busy := l.BeginTrial(v.Feature)
-		if busy != nil {
+		s.token++
+		token := s.token
+		p := s.arbiter.Begin(at(ms), v.Feature, token)
+		if level := s.vms[0].levelOf(at(ms), v.Feature); level > v.Level {
+			l.Learn(at(ms), v.Feature, level)
+		}
+		if !p.Granted {
 			wait()
 			return
 		}
-		a.trial, a.endTrial = v.Feature, done
-	case Clear, Noted:
+		a.trial, a.endTrial = v.Feature, func(ms int, lost bool) {
+			s.arbiter.End(at(ms), v.Feature, token, lost)
+			s.vms[0].Learn(at(ms), v.Feature, l.levelOf(at(ms), v.Feature))
+		}
 	}
 	u := s.pick(ms, a)
 	if u == nil {
-		a.endTrial()
+		a.endTrial(ms, false)
 		return
 	}
 	a.sends, a.sentAt, a.exclude = a.sends+1, ms, append(a.exclude, u.id())
@@ -219,7 +233,7 @@
 		}
 	}
 	place := s.vms[a.vm].Place(at(ms), ids)
-	if a.trial != 0 {
+	if a.trial != 0 && place.Upstream(a.trial) != "" {
 		i := slices.IndexFunc(warm, func(u *repeatUpstream) bool { return u.id() == place.Upstream(a.trial) })
 		if i < 0 {
 			return nil
@@ -246,7 +260,7 @@
 			return false
 		}
 		s.handOn(ms, nil, s.vms[a.vm].RecordSound(at(ms), at(ms-simStep), a.traits))
-		a.endTrial()
+		a.endTrial(ms, false)
 		if a.content == repeatedContent {
 			s.repeatedAnswered++
 		} else {
@@ -265,17 +279,18 @@
 		s.crashes = append(s.crashes, ms)
 	}
 	for _, a := range u.running {
-		c := Crash{Upstream: u.id(), SentAt: at(a.sentAt), HasHead: hasHead && a.content == repeatedContent, Traits: a.traits}
+		c := Crash{Upstream: u.id(), SentAt: at(a.sentAt), HasHead: hasHead && a.content == repeatedContent, Trial: a.trial, Traits: a.traits}
+		endTrial := a.endTrial
 		record := func(ms int) {
 			raised, cleared := s.vms[a.vm].RecordCrash(at(ms), c)
 			s.handOn(ms, raised, cleared)
+			endTrial(ms, true)
 		}
 		if s.lossDelay == 0 {
 			record(ms)
 		} else {
 			s.lost, s.lostAt = append(s.lost, record), append(s.lostAt, ms+s.lossDelay)
 		}
-		a.endTrial()
 		if a.sends < s.attempts {
 			s.waiting = append(s.waiting, a)
 		}
