mpproxy: Let a test wait for the pause before a trial

"requests with a suspect part are sent one at a time" counted the requests 100 ms after the start, and failed in one run of the package with none sent: since the trials of suspects begin after a random pause of 50 to 150 ms, the first may not be out by then.

--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -169,7 +169,7 @@
 					}
 				})
 			}
-			<-time.After(100 * time.Millisecond)
+			<-time.After(mpquarantine.TrialPause(1) + 100*time.Millisecond)
 			if n := len(r.transport.sent()); n != 1 {
 				t.Errorf("%d requests were sent at once", n)
 			}
