mpquota, mpproxy, mpadapter: Decode and log the rate that upstreams name

platform/ decodes the field once, for answers and for calls for pieces. mpquota keeps what each upstream said last: an answer to a request that was sent before the last statement was seen does not count, since it may be older. Zero means a request every 10 s, whose answer tells that the limit has ended; the lowest of several values counts; what is not a number or is negative says nothing; 10,000 a second or more is no limit. One line is logged when a limit is named, changed or ended, and a gauge counts those in force.

Nothing obeys the limit yet.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -31,6 +31,7 @@
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
+	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -111,6 +112,7 @@
 	quarantine   *mpquarantine.Ledger
 	evidence     *evidence
 	trials       *trials
+	quotas       *quotas
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -138,6 +140,7 @@
 		budgets:      map[string]*mpbudget.Budget{},
 		view:         mpview.Empty(),
 		quarantine:   mpquarantine.New(),
+		quotas:       &quotas{limits: mpquota.NewLimits(), logger: cfg.Logger},
 	}
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics})
 	g.member = mpmember.New(mpmember.Config{
@@ -152,7 +155,7 @@
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: cfg.Seeds})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
-		Client: cfg.BatchClient, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
+		Client: cfg.BatchClient, Quotas: g.quotas, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
 		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
@@ -172,6 +175,7 @@
 		Quarantine:    g.quarantine,
 		Evidence:      g.evidence,
 		Trials:        g.trials,
+		Quotas:        g.quotas,
 		Prober:        mpupstream.NewProber(cfg.LocalIP),
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
@@ -200,6 +204,7 @@
 	})
 	g.metrics.Gauge("quarantine.suspects", func() any { return g.quarantine.Count(mpquarantine.Suspect, mpquarantine.StrongSuspect) })
 	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
+	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
 }
 
@@ -267,7 +272,10 @@
 	}
 	go g.evidence.run(ctx)
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
-	go mptime.Every(ctx, pruneInterval, func(now time.Time) { g.selector.Prune(now, g.List()) })
+	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
+		g.selector.Prune(now, g.List())
+		g.quotas.limits.Prune(now, g.List().Has)
+	})
 	select {
 	case err := <-failed:
 		return err
--- a/core/process/mpstage/burst_test.go
+++ b/core/process/mpstage/burst_test.go
@@ -145,7 +145,7 @@
 func startBurstVM(t *testing.T, vm mpview.VM, view *mpview.View, table *mproute.Table, usable *mplist.Usable) burstVM {
 	t.Helper()
 	metrics, logger, client := mpmetric.New(), mplog.New(io.Discard, "info"), &sentCounter{}
-	owner := NewOwner(t.Context(), OwnerConfig{Client: client, Metrics: metrics, Logger: logger, Clock: time.Now})
+	owner := NewOwner(t.Context(), OwnerConfig{Client: client, Quotas: noQuotas{}, Metrics: metrics, Logger: logger, Clock: time.Now})
 	owner.Update(table, usable)
 	server, err := mppeer.Serve(mppeer.ServerConfig{Address: vm.Peer, Secret: "s", Peer: burstPeer{owner: owner}, Metrics: metrics})
 	if err != nil {
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -20,6 +20,7 @@
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -41,9 +42,16 @@
 	Free(ctx context.Context, address string, handles []string) error
 }
 
+// Quotas keeps the rates that upstreams set for all VMs together.
+type Quotas interface {
+	// Observe records what the answer to a call that was sent at sentAt says.
+	Observe(sentAt time.Time, upstream string, s mpquota.Statement)
+}
+
 // OwnerConfig configures an Owner.
 type OwnerConfig struct {
 	Client  BatchClient
+	Quotas  Quotas
 	Metrics *mpmetric.Set
 	Logger  log.Logger
 	Clock   func() time.Time
@@ -252,6 +260,7 @@
 	q.owner.cfg.Metrics.ObserveDuration("batch", now.Sub(start))
 	_ = level.Info(q.owner.cfg.Logger).Log("msg", "batch", "pool", q.shard.pool, "shard", q.shard, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
 		"expected", c.Expected, "took", now.Sub(start), "ending", out.Status, "missing", failureReasons(out.Items), "err", out.Err)
+	q.owner.cfg.Quotas.Observe(start, c.Upstream.ID, out.RateLimit)
 	q.mu.Lock()
 	q.batcher.Finish(now, c.ID, out)
 	q.mu.Unlock()
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -14,6 +14,7 @@
 
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -89,7 +90,7 @@
 		{ID: "u1", Pool: "first", Address: "127.0.0.1:1", DC: "a"},
 		{ID: "u2", Pool: "second", Address: "127.0.0.1:2", DC: "a"},
 	})
-	o := NewOwner(ctx, OwnerConfig{Client: m, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now})
+	o := NewOwner(ctx, OwnerConfig{Client: m, Quotas: noQuotas{}, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now})
 	o.Update(table, list.Usable(func(string) bool { return false }))
 	return o
 }
@@ -168,3 +169,8 @@
 
 // whole returns the only shard of a pool that is not divided.
 func whole(pool string) shard { return shard{pool: pool, count: 1} }
+
+// noQuotas drops what upstreams say of their rates.
+type noQuotas struct{}
+
+func (noQuotas) Observe(time.Time, string, mpquota.Statement) {}
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpquota"
 )
 
 // JobSpec describes the work for one stage of one request.
@@ -105,6 +106,8 @@
 type Outcome struct {
 	Status CallStatus
 	Items  []ItemOutcome
+	// RateLimit is what the answer says of the rate that the upstream takes.
+	RateLimit mpquota.Statement
 	// Err is the cause of a Failed call, for the log.
 	Err error
 }
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -218,9 +218,11 @@
 	defer func() { _ = resp.Body.Close() }()
 	e.framing = framingOf(e.r.Method, resp)
 	d := e.p.cfg.Dialect
-	switch {
-	case !d.MatchesRequest(e.r, resp.Header):
+	if !d.MatchesRequest(e.r, resp.Header) {
 		return failed, mpselect.Failed, "response belongs to another request"
+	}
+	e.p.cfg.Quotas.Observe(e.sentAt, row.ID, d.RateLimit(resp.StatusCode, resp.Header))
+	switch {
 	case d.LacksInputs(resp.StatusCode, resp.Header):
 		return inputsMissing, mpselect.Neutral, "stage results no longer exist"
 	case d.NotRun(resp.StatusCode, resp.Header):
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -66,6 +66,7 @@
 	Evidence   CrashEvidence
 	Trials     Trials
 	Prober     Prober
+	Quotas     Quotas
 	Metrics    *mpmetric.Set
 	Logger     log.Logger
 	Clock      func() time.Time
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -22,6 +22,7 @@
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpquarantine"
+	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -109,6 +110,15 @@
 }
 func (fakeDialect) LacksInputs(status int, _ http.Header) bool { return status == http.StatusConflict }
 
+func (fakeDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
+	return mpquota.ParseStatement(h.Values("Limit"))
+}
+
+// noQuotas drops what upstreams say of their rates.
+type noQuotas struct{}
+
+func (noQuotas) Observe(time.Time, string, mpquota.Statement) {}
+
 type staticState struct {
 	table *mproute.Table
 	list  *mplist.List
@@ -225,7 +235,7 @@
 	r.p = New(Config{
 		DC: "a", State: staticState{table, list}, Dialect: fakeDialect{}, StageExecutor: r.executor,
 		Selector: mpselect.New(mpselect.Config{VM: "v"}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
+		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Quotas: noQuotas{}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	return r
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -73,6 +74,14 @@
 	// LacksInputs reports whether the response states that stage results no longer
 	// exist.
 	LacksInputs(status int, h http.Header) bool
+	// RateLimit returns what the response says of the rate that the upstream takes.
+	RateLimit(status int, h http.Header) mpquota.Statement
+}
+
+// Quotas keeps the rates that upstreams set for all VMs together.
+type Quotas interface {
+	// Observe records what the answer to a request that was sent at sentAt says.
+	Observe(sentAt time.Time, upstream string, s mpquota.Statement)
 }
 
 // StageExecutor runs the pieces of stages.
--- a/core/version/mplist/mplist.go
+++ b/core/version/mplist/mplist.go
@@ -70,6 +70,11 @@
 	return l.rows
 }
 
+// Has reports whether the list has the upstream with the given ID.
+func (l *List) Has(id string) bool {
+	return slices.ContainsFunc(l.Rows(), func(r Row) bool { return r.ID == id })
+}
+
 // ReceivedAt returns the time at which this VM read or received the list.
 func (l *List) ReceivedAt() time.Time { return l.receivedAt }
 
