mpquota: Let a rate that rises hold at once

An upstream that named one request in 10 s and then five a second got nothing for the rest of the 10 s, since the time of the next request had been reckoned at the former rate. It is now limited to one interval of the present one; TestGrantsAtRisingRate failed before.

--- a/core/request/mpquota/grants.go
+++ b/core/request/mpquota/grants.go
@@ -30,29 +30,21 @@
 func (g *Grants) Take(now time.Time, upstream string, rate float64) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wait, arrival := g.wait(now, upstream)
-	if wait > 0 {
+	interval := time.Duration(float64(time.Second) / rate)
+	arrival := g.arrivals[upstream]
+	switch latest := now.Add(interval + burstWindow); {
+	case arrival.Before(now):
+		arrival = now
+	case arrival.After(latest):
+		arrival = latest // The rate was lower before.
+	}
+	if wait := arrival.Sub(now) - burstWindow; wait > 0 {
+		g.arrivals[upstream] = arrival
 		return wait
 	}
 	if len(g.arrivals) >= maxGrants {
 		maps.DeleteFunc(g.arrivals, func(_ string, at time.Time) bool { return at.Before(now) })
 	}
-	g.arrivals[upstream] = arrival.Add(time.Duration(float64(time.Second) / rate))
+	g.arrivals[upstream] = arrival.Add(interval)
 	return 0
 }
-
-// Wait returns how long it takes until Take grants a request.
-func (g *Grants) Wait(now time.Time, upstream string) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	wait, _ := g.wait(now, upstream)
-	return wait
-}
-
-func (g *Grants) wait(now time.Time, upstream string) (wait time.Duration, arrival time.Time) {
-	arrival = g.arrivals[upstream]
-	if arrival.Before(now) {
-		arrival = now
-	}
-	return max(arrival.Sub(now)-burstWindow, 0), arrival
-}
--- a/core/request/mpquota/grants_test.go
+++ b/core/request/mpquota/grants_test.go
@@ -1,6 +1,9 @@
 package mpquota
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Guards against more requests than an upstream's rate allows, and against a rate below one
 // that grants nothing.
@@ -32,3 +35,16 @@
 		}
 	}
 }
+
+// Guards against an upstream that takes more again and gets nothing for as long as its former
+// rate said.
+func TestGrantsAtRisingRate(t *testing.T) {
+	g := NewGrants()
+	g.Take(at(0), "u", 0.1)
+	if wait := g.Take(at(100), "u", 0.1); wait < 9*time.Second {
+		t.Errorf("wait %v at one request in 10 s", wait)
+	}
+	if wait := g.Take(at(200), "u", 5); wait > 200*time.Millisecond {
+		t.Errorf("wait %v at five a second", wait)
+	}
+}
