mplog, mpgateway, docs: Explain refusals for which upstreams named a rate

explain led from a request that was refused for the rates of upstreams to its own line only. It adds the limits that the VM knew at that moment.

--- a/core/process/mpgateway/quotas.go
+++ b/core/process/mpgateway/quotas.go
@@ -11,6 +11,7 @@
 	"mustardpost.org/core/common/mprank"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpstage"
 	"mustardpost.org/core/request/mpproxy"
@@ -67,7 +68,7 @@
 func (q *quotas) learn(c mpquota.Change) { q.logChange(c, "peer") }
 
 func (q *quotas) logChange(c mpquota.Change, source string) {
-	_ = level.Info(q.logger).Log("msg", "upstream limit", "upstream", c.Upstream, "was", c.Was, "rate", c.Rate, "from", source)
+	_ = level.Info(q.logger).Log("msg", mplog.MsgLimit, "upstream", c.Upstream, "was", c.Was, "rate", c.Rate, "from", source)
 }
 
 // Rate implements mpproxy.Quotas and mpstage.Quotas.
--- a/core/process/mplog/timeline.go
+++ b/core/process/mplog/timeline.go
@@ -31,6 +31,10 @@
 // Refusals name the same feature.
 const MsgCrashEvidence = "crash evidence"
 
+// MsgLimit is the message of lines about the rate that an upstream names. Refusals for which
+// no rate allowed a request have it in their reason.
+const MsgLimit = "upstream limit"
+
 // MsgTrial is the message of lines about a request that was sent as the trial of a feature.
 const MsgTrial = "trial"
 
@@ -67,12 +71,12 @@
 }
 
 // Explain collects the lines about the request with the given ID from logs, ordered by
-// time, including the batch calls that ran its pieces and the evidence on which it was
-// refused. It returns an error that wraps
-// ErrNotFound if no line names the request.
+// time, including the batch calls that ran its pieces, and the evidence or the limits of
+// upstreams for which it was refused. It returns an error that wraps ErrNotFound if no line
+// names the request.
 func Explain(id string, logs ...io.Reader) (Timeline, error) {
 	t := Timeline{ID: id, Gaps: []string{}}
-	var calls, drops, evidence []Line
+	var calls, drops, evidence, limits []Line
 	for _, r := range logs {
 		if err := readLines(r, func(l Line) {
 			switch {
@@ -82,6 +86,8 @@
 				calls = append(calls, l)
 			case l.Msg == MsgCrashEvidence, l.Msg == MsgTrial:
 				evidence = append(evidence, l)
+			case l.Msg == MsgLimit:
+				limits = append(limits, l)
 			case l.Msg == "log lines dropped":
 				drops = append(drops, l)
 			}
@@ -94,6 +100,7 @@
 	}
 	t.addBatchCalls(calls)
 	t.addEvidence(evidence)
+	t.addLimits(limits)
 	slices.SortStableFunc(t.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	t.findGaps(drops)
 	return t, nil
@@ -183,6 +190,27 @@
 	}
 }
 
+// addLimits adds the limits that the request's VM knew when it refused the request for them.
+func (t *Timeline) addLimits(limits []Line) {
+	for _, l := range slices.Clone(t.Lines) {
+		if !strings.Contains(l.Get("reason")+l.Get("cause"), MsgLimit) {
+			continue
+		}
+		known := map[string]Line{}
+		for _, limit := range limits {
+			last, ok := known[limit.Get("upstream")]
+			if limit.VM == l.VM && !limit.At.After(l.At) && (!ok || limit.At.After(last.At)) {
+				known[limit.Get("upstream")] = limit
+			}
+		}
+		for _, limit := range known {
+			if limit.Get("rate") != "0" {
+				t.Lines = append(t.Lines, limit)
+			}
+		}
+	}
+}
+
 func (t *Timeline) findGaps(drops []Line) {
 	end := slices.IndexFunc(t.Lines, func(l Line) bool { return l.Msg == "request" || l.Msg == MsgRequestsNotServed })
 	if end < 0 {
--- a/core/process/mplog/timeline_test.go
+++ b/core/process/mplog/timeline_test.go
@@ -102,3 +102,26 @@
 		}
 	})
 }
+
+// Guards against a refusal of which the log does not tell that upstreams named a rate.
+func TestLimitsAreExplained(t *testing.T) {
+	const log = `level=info at=2026-01-01T00:00:01Z vm=a msg="upstream limit" upstream=u1 was=0 rate=2 from=answer
+level=info at=2026-01-01T00:00:02Z vm=a msg="upstream limit" upstream=u1 was=2 rate=1 from=answer
+level=info at=2026-01-01T00:00:02Z vm=a msg="upstream limit" upstream=u2 was=0 rate=1 from=peer
+level=info at=2026-01-01T00:00:03Z vm=a msg="upstream limit" upstream=u2 was=1 rate=0 from=peer
+level=info at=2026-01-01T00:00:03Z vm=b msg="upstream limit" upstream=u3 was=0 rate=1 from=peer
+level=info at=2026-01-01T00:00:04Z vm=a msg=request id=r1 status=503 reason="upstream limit: no usable upstream"
+level=info at=2026-01-01T00:00:05Z vm=a msg="upstream limit" upstream=u1 was=1 rate=0 from=answer
+`
+	timeline, err := Explain("r1", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range timeline.Lines {
+		got = append(got, l.Msg+" "+l.Get("upstream")+" "+l.Get("rate"))
+	}
+	if diff := cmp.Diff([]string{"upstream limit u1 1", "request  "}, got); diff != "" {
+		t.Errorf("explanation (-want +got):\n%s", diff)
+	}
+}
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -43,7 +43,7 @@
 	startTimeoutTargetFactor = 4
 	startTimeoutGapFactor    = 8
 	// causeLimit is the cause of refusals where the rates of the upstreams allow no request.
-	causeLimit = "upstream limit"
+	causeLimit = mplog.MsgLimit
 	// statusAborted is logged if no status was sent or the response was cut off.
 	statusAborted = -1
 	// attemptOverheadTokens is the fixed part of an attempt's work, besides the last
