mpquarantine: Repeat a bad request that shares parts with others

Three loads more for the repeated request: with a part that all requests have and one that some have, in pools of three and twelve, with and without the head of an answer.

--- a/core/request/mpquarantine/repeat_test.go
+++ b/core/request/mpquarantine/repeat_test.go
@@ -31,6 +31,8 @@
 // repeats is a load of one content that is sent again and again, at any VM.
 type repeats struct {
 	upstreams int
+	// hasParts is set if requests have a part that all share and one that some do.
+	hasParts bool
 	// isBad is set if the content ends each upstream that runs it, hasHead if it does so after
 	// the head of an answer.
 	isBad, hasHead bool
@@ -166,7 +168,11 @@
 
 func (s *repeatSim) arrive(ms, content int) {
 	pause := int(TrialPause(s.r.Float64()).Milliseconds())
-	a := &repeatAttempt{vm: s.r.IntN(simVMs), content: content, arrivedAt: ms, pause: pause, traits: request(uint64(content)), endTrial: func(int, bool) {}}
+	traits := request(uint64(content))
+	if s.hasParts {
+		traits = request(uint64(content), "all", fmt.Sprint("own", content%20))
+	}
+	a := &repeatAttempt{vm: s.r.IntN(simVMs), content: content, arrivedAt: ms, pause: pause, traits: traits, endTrial: func(int, bool) {}}
 	if content == repeatedContent {
 		s.repeated++
 	} else {
@@ -319,6 +325,17 @@
 	return ok
 }
 
+// convicted returns the number of features that are convicted at the end.
+func (s *repeatSim) convicted() int {
+	n := 0
+	for fingerprint := range s.strikes {
+		if _, level := splitFingerprint(fingerprint); level == Convicted {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against one request, sent again and again at any VM, that ended upstream after
 // upstream of a small pool: repeats that came together counted as one, and each VM tried the
 // suspect on its own.
@@ -335,6 +352,9 @@
 		"ten at once":                                           {upstreams: 3, atOnce: 10, interval: 5000, attempts: 2, lossDelay: 150, coldFor: 1000},
 		"ten at once, 30 upstreams":                             {upstreams: 30, atOnce: 10, interval: 5000, attempts: 2, lossDelay: 150},
 		"one a second, 30 upstreams":                            {upstreams: 30, atOnce: 1, interval: 1000, attempts: 2},
+		"three at once, with parts that others share":           {upstreams: 3, atOnce: 3, interval: 3000, attempts: 2, hasParts: true},
+		"six at once, with parts, 12 upstreams, after the head": {upstreams: 12, atOnce: 6, interval: 5000, attempts: 2, hasParts: true, hasHead: true},
+		"one a second, with parts, 12 upstreams":                {upstreams: 12, atOnce: 1, interval: 1000, attempts: 2, hasParts: true, lossDelay: 150},
 		"three at once, no leader between rounds":               {upstreams: 3, atOnce: 3, interval: 3000, attempts: 1, leaderlessFrom: 1050, leaderlessFor: 1500},
 		"three at once, no leader between trials":               {upstreams: 3, atOnce: 3, interval: 3000, attempts: 1, leaderlessFrom: 4050, leaderlessFor: 2900},
 		"three at once, others that end for another reason":     {upstreams: 3, atOnce: 3, interval: 3000, attempts: 1, ends: every(4000, func(r *rand.Rand) []int { return []int{r.IntN(3)} })},
@@ -352,8 +372,8 @@
 						t.Errorf("seed %d: %d requests were sent later than %d ms after crash %d; %d upstreams ended", seed, n, contact, repeatCrashLimit, len(s.crashes))
 					}
 				}
-				if !s.isConvicted() {
-					t.Errorf("seed %d: the content is not convicted", seed)
+				if !s.isConvicted() || s.convicted() > 1 {
+					t.Errorf("seed %d: the content is convicted: %t, of %d features", seed, s.isConvicted(), s.convicted())
 				}
 				most = max(most, s.lateSent())
 				crashes, others, answered = crashes+len(s.crashes), others+s.others, answered+s.othersAnswered
