mpproxy: End a trial also if its attempt panics

Since the end of a trial moved behind its evidence, a panic in an attempt, which net/http recovers, would have left the feature to that request for good: all others of the VM with it waited until their time was over. Found by reading.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -138,7 +138,14 @@
 		return refused, "; retry budget exhausted", false
 	}
 	e.endTrial = t.end
+	isDone := false
+	defer func() {
+		if !isDone {
+			t.end(true) // After a panic. Otherwise attempt ends it, or recordLoss does later.
+		}
+	}()
 	result, why := e.attempt(ctx, row, t, e.timeLeft(), last)
+	isDone = true
 	e.pickInfo.Exclude = append(e.pickInfo.Exclude, row.ID)
 	return result, why, true
 }
