mpproxy: Ask for up to eight upstreams of limited rate

With four, a VM refused a request at a pool whose first four upstreams in its order denied it, though the others had not been asked. Each that denied is left out until its time, so that few requests ask for many.

--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -10,7 +10,7 @@
 )
 
 // maxTakes limits how many upstreams of limited rate are asked for in turn for one attempt.
-const maxTakes = 4
+const maxTakes = 8
 
 // pick selects an upstream to which the request was not sent before, and takes one request
 // from its rate if it has one. If none is usable, it returns when the first rate allows one;
