mplead, mpquota: Hold the renewals of VMs that know no limits

A VM of an earlier version does not tell which limits it has. The leader took that for none, so that with a limit in force it answered each of its renewals at once, and the VM renewed without a pause. VMs that use limits now always send a hash, and no hash means that the VM does not use them.

--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -156,7 +156,7 @@
 		reply.Listed = l.upstreamList.Hash()
 		reply.Upstreams, err = l.upstreamList.Encode(time.Now())
 	}
-	if l.limits.Hash() != r.GetLimited() {
+	if hasStaleLimits(r, l.limits) {
 		reply.Limits = mpwire.EncodeLimits(l.limits.Entries(time.Now()))
 	}
 	return reply, err
@@ -210,6 +210,11 @@
 	return list.Hash() != 0 && list.Hash() != r.GetListed()
 }
 
+// hasStaleLimits reports whether the renewing VM uses limits and has others than the leader.
+func hasStaleLimits(r *mpwire.RenewRequest, limits *mpquota.Limits) bool {
+	return r.GetLimited() != 0 && r.GetLimited() != limits.Hash()
+}
+
 // waitForUpdate waits until the VM lacks a revision, the current list of upstreams or a limit,
 // for at most a quarter of the lease.
 func (l *Leader) waitForUpdate(ctx context.Context, r *mpwire.RenewRequest) {
@@ -217,7 +222,7 @@
 	l.mu.Lock()
 	list, listChanged, limitsChanged := l.upstreamList, l.upstreamListChanged, l.limitsChanged
 	l.mu.Unlock()
-	if l.cfg.StateMachine.View().Revision() != r.GetRevision() || hasStaleList(r, list) || l.limits.Hash() != r.GetLimited() {
+	if l.cfg.StateMachine.View().Revision() != r.GetRevision() || hasStaleList(r, list) || hasStaleLimits(r, l.limits) {
 		return
 	}
 	t := time.NewTimer(l.cfg.LeaseDuration / renewHoldDivisor)
--- a/core/request/mpquota/limits.go
+++ b/core/request/mpquota/limits.go
@@ -95,21 +95,17 @@
 	return out
 }
 
-// Hash identifies the limits that are in force. It is 0 if there are none.
+// Hash identifies the limits that are in force. It is never 0.
 func (l *Limits) Hash() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h, n := xxhash.New(), 0
+	h := xxhash.New()
 	for _, upstream := range slices.Sorted(maps.Keys(l.byUpstream)) {
 		if rate := l.byUpstream[upstream].rate; rate > 0 {
-			n++
 			_, _ = h.WriteString(upstream)
 			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, math.Float64bits(rate)))
 		}
 	}
-	if n == 0 {
-		return 0
-	}
 	return max(h.Sum64(), 1)
 }
 
--- a/core/request/mpquota/limits_test.go
+++ b/core/request/mpquota/limits_test.go
@@ -105,8 +105,8 @@
 		b.Merge(at(30), a.Entries(at(20)))
 		a.Merge(at(50), b.Entries(at(40)))
 		checkRate(t, a, 3)
-		if a.Hash() != b.Hash() || a.Hash() == 0 {
-			t.Errorf("hashes %x and %x differ or are 0", a.Hash(), b.Hash())
+		if none := NewLimits().Hash(); a.Hash() != b.Hash() || a.Hash() == none || none == 0 {
+			t.Errorf("hashes %x and %x, that of no limits is %x", a.Hash(), b.Hash(), none)
 		}
 	})
 	t.Run("limits of upstreams that are gone are dropped", func(t *testing.T) {
