mpquota, mpgateway: Begin the shares of a rate at different moments

While the keeper of an upstream's rate does not answer, each VM uses a part of its equal share. Each granted the first request of that share at once, and again after each pause, so that a silent keeper let every VM send one: 72 requests in 4 s from 76 VMs at a limit of one a second, where 11 are allowed, 97 at ten a second (65), 14 from twelve VMs. Found by three loads more in TestLimitOverAllVMs, in which the keeper is silent for four seconds in eight.

A share now begins at a random moment of its first interval, and anew after two seconds without a request.

Grants of upstreams that left the list are dropped with their limits.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -143,8 +143,8 @@
 	}
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics})
 	g.quotas = &quotas{
-		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(),
-		ownShare: mpquota.NewGrants(), metrics: g.metrics, logger: cfg.Logger,
+		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}),
+		ownShare: newOwnShare(), metrics: g.metrics, logger: cfg.Logger,
 	}
 	g.member = mpmember.New(mpmember.Config{
 		Self: mpview.VM{
@@ -283,7 +283,7 @@
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
 		g.selector.Prune(now, g.List())
-		g.quotas.limits.Prune(now, g.List().Has)
+		g.quotas.prune(now, g.List().Has)
 	})
 	select {
 	case err := <-failed:
--- a/core/process/mpgateway/quotas.go
+++ b/core/process/mpgateway/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -31,6 +32,14 @@
 	silentPeriod = time.Second
 )
 
+// newOwnShare returns the grants that a VM makes itself, which begin at a random moment of the
+// first interval.
+func newOwnShare() *mpquota.Grants {
+	return mpquota.NewGrants(mpquota.GrantsConfig{FirstDelay: func(interval time.Duration) time.Duration {
+		return time.Duration(rand.Float64() * float64(interval))
+	}})
+}
+
 // quotas keeps the rates that upstreams set for all VMs together. The VMs tell each other of
 // limits with their leases. The keeper of an upstream's rate is the first VM that serves
 // callers in the upstream's order, so that all VMs name the same one without agreement; it
@@ -91,7 +100,8 @@
 		}
 		q.recordSilence(vm.Name, err)
 	}
-	return q.ownShare.Take(time.Now(), upstream, rate/float64(ownShareDivisor*len(serving)))
+	wait := q.ownShare.Take(time.Now(), upstream, rate/float64(ownShareDivisor*len(serving)))
+	return min(wait, silentPeriod) // Then the keeper is asked again.
 }
 
 func (q *quotas) isSilent(vm string) bool {
@@ -110,6 +120,13 @@
 	q.silentUntil[vm] = time.Now().Add(silentPeriod)
 }
 
+// prune forgets the upstreams that have left the list.
+func (q *quotas) prune(now time.Time, isListed func(upstream string) bool) {
+	q.limits.Prune(now, isListed)
+	q.grants.Prune(isListed)
+	q.ownShare.Prune(isListed)
+}
+
 func (q *quotas) call(ctx context.Context, vm mpview.VM, r *mpwire.TakeRequest) (*mpwire.TakeReply, error) {
 	peer, err := q.dial(vm.Peer)
 	if err != nil {
--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 	"google.golang.org/grpc"
 
+	"mustardpost.org/core/common/mprank"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
@@ -151,7 +152,7 @@
 	name := fmt.Sprint("vm", i)
 	vm := &limitVM{}
 	vm.quotas = &quotas{
-		vm: name, view: func() *mpview.View { return d.view }, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(), ownShare: mpquota.NewGrants(),
+		vm: name, view: func() *mpview.View { return d.view }, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}), ownShare: newOwnShare(),
 		dial: func(address string) (mpwire.PeerClient, error) {
 			n, err := strconv.Atoi(strings.TrimPrefix(address, "vm"))
 			return limitPeer{from: vm, to: d.vms[n]}, err
@@ -322,6 +323,20 @@
 			vm.isCut = second > 6 && second%6 < 3 && i%3 == second/6%3
 		}
 	}
+	// The keeper of u0 is silent for four seconds in eight, and leaves the view after two.
+	silentKeeper := func(second int, d *limitDeployment) {
+		for i, vm := range d.vms {
+			switch name := fmt.Sprint("vm", i); {
+			case second%8 == 0:
+				vm.isCut = name == mprank.OfName("u0", vmNames(d.view.Serving()))[0]
+			case second%8 == 2 && vm.isCut:
+				d.setServing(i, false)
+			case second%8 == 4 && vm.isCut:
+				vm.isCut = false
+				d.setServing(i, true)
+			}
+		}
+	}
 	leaderless := func(second int, d *limitDeployment) { d.leaderless = second%10 > 3 }
 	for name, p := range map[string]limitLoad{
 		"one a second, twelve VMs":       {count: 12, upstreams: 3, limited: 1, limit: 1, rate: 30},
@@ -335,6 +350,9 @@
 		"VMs that restart":               {count: 12, upstreams: 3, limited: 1, limit: 1, rate: 30, disturb: restart},
 		"VMs that leave and join":        {count: 12, upstreams: 3, limited: 1, limit: 2, rate: 30, disturb: leave},
 		"VMs that are cut off":           {count: 12, upstreams: 3, limited: 1, limit: 4, rate: 40, disturb: cut},
+		"a keeper that is silent":        {count: 12, upstreams: 3, limited: 1, limit: 1, rate: 30, disturb: silentKeeper},
+		"a silent keeper of 76 VMs":      {count: 76, upstreams: 3, limited: 1, limit: 1, rate: 150, disturb: silentKeeper},
+		"a silent keeper, ten a second":  {count: 76, upstreams: 3, limited: 1, limit: 10, rate: 150, disturb: silentKeeper},
 		"no leader for most of the time": {count: 12, upstreams: 3, limited: 1, limit: 1, rate: 30, disturb: leaderless},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/request/mpquota/grants.go
+++ b/core/request/mpquota/grants.go
@@ -6,24 +6,41 @@
 	"time"
 )
 
-const (
-	// burstWindow is the time for which requests that an upstream could have had may be granted
-	// at once. It is far below the time over which upstreams count.
-	burstWindow = 250 * time.Millisecond
-	// maxGrants bounds the upstreams whose grants are kept; those that are due again need not be.
-	maxGrants = 4 * maxLimits
-)
+// burstWindow is the time for which requests that an upstream could have had may be granted at
+// once. It is far below the time over which upstreams count.
+const burstWindow = 250 * time.Millisecond
+
+// idlePeriod is how long a share of a rate is not asked for until it begins anew.
+const idlePeriod = 2 * time.Second
+
+// GrantsConfig configures Grants.
+type GrantsConfig struct {
+	// FirstDelay returns how long the first request to an upstream waits whose requests have
+	// the given interval, and the first one after idlePeriod; nil for no delay. VMs that each
+	// use a share of a rate must not all begin it at once.
+	FirstDelay func(interval time.Duration) time.Duration
+}
 
 // Grants grants requests to upstreams at their rates, by the generic cell rate algorithm. It is
 // safe for concurrent use.
 type Grants struct {
-	mu sync.Mutex
-	// arrivals holds the theoretical arrival time of the next request to each upstream.
-	arrivals map[string]time.Time
+	cfg GrantsConfig
+
+	mu         sync.Mutex
+	byUpstream map[string]schedule
+}
+
+// schedule is when the requests to an upstream are due.
+type schedule struct {
+	// arrival is the theoretical arrival time of the next request.
+	arrival time.Time
+	askedAt time.Time
 }
 
 // NewGrants returns Grants that has granted nothing yet.
-func NewGrants() *Grants { return &Grants{arrivals: map[string]time.Time{}} }
+func NewGrants(cfg GrantsConfig) *Grants {
+	return &Grants{cfg: cfg, byUpstream: map[string]schedule{}}
+}
 
 // Take grants one request to upstream and returns 0, or returns when to ask again. The rate is
 // in requests per second.
@@ -31,20 +48,27 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	interval := time.Duration(float64(time.Second) / rate)
-	arrival := g.arrivals[upstream]
+	last, ok := g.byUpstream[upstream]
+	arrival := last.arrival
 	switch latest := now.Add(interval + burstWindow); {
+	case g.cfg.FirstDelay != nil && (!ok || now.Sub(last.askedAt) > idlePeriod):
+		arrival = now.Add(burstWindow + g.cfg.FirstDelay(interval))
 	case arrival.Before(now):
 		arrival = now
 	case arrival.After(latest):
 		arrival = latest // The rate was lower before.
 	}
-	if wait := arrival.Sub(now) - burstWindow; wait > 0 {
-		g.arrivals[upstream] = arrival
-		return wait
-	}
-	if len(g.arrivals) >= maxGrants {
-		maps.DeleteFunc(g.arrivals, func(_ string, at time.Time) bool { return at.Before(now) })
+	wait := max(arrival.Sub(now)-burstWindow, 0)
+	if wait == 0 {
+		arrival = arrival.Add(interval)
 	}
-	g.arrivals[upstream] = arrival.Add(interval)
-	return 0
+	g.byUpstream[upstream] = schedule{arrival, now}
+	return wait
+}
+
+// Prune forgets the upstreams for which isListed returns false.
+func (g *Grants) Prune(isListed func(upstream string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.byUpstream, func(upstream string, _ schedule) bool { return !isListed(upstream) })
 }
--- a/core/request/mpquota/grants_test.go
+++ b/core/request/mpquota/grants_test.go
@@ -1,6 +1,7 @@
 package mpquota
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -9,7 +10,7 @@
 // that grants nothing.
 func TestGrants(t *testing.T) {
 	for _, rate := range []float64{0.1, 0.5, 1, 3, 10, 100} {
-		g := NewGrants()
+		g := NewGrants(GrantsConfig{})
 		var granted []int
 		const length, step, window = 60_000, 5, 4000
 		for ms := 0; ms < length; ms += step {
@@ -39,7 +40,7 @@
 // Guards against an upstream that takes more again and gets nothing for as long as its former
 // rate said.
 func TestGrantsAtRisingRate(t *testing.T) {
-	g := NewGrants()
+	g := NewGrants(GrantsConfig{})
 	g.Take(at(0), "u", 0.1)
 	if wait := g.Take(at(100), "u", 0.1); wait < 9*time.Second {
 		t.Errorf("wait %v at one request in 10 s", wait)
@@ -48,3 +49,21 @@
 		t.Errorf("wait %v at five a second", wait)
 	}
 }
+
+// Guards against VMs that all begin their shares of a rate at the same moment.
+func TestSharesDoNotBeginTogether(t *testing.T) {
+	const vms, rate, seconds = 76, 1.0, 4
+	r := rand.New(rand.NewPCG(1, 1))
+	granted := 0
+	for range vms {
+		g := NewGrants(GrantsConfig{FirstDelay: func(interval time.Duration) time.Duration { return time.Duration(r.Float64() * float64(interval)) }})
+		for ms := 0; ms < 1000*seconds; ms += 10 {
+			if g.Take(at(ms), "u", rate/vms) == 0 {
+				granted++
+			}
+		}
+	}
+	if granted > 2*rate*seconds {
+		t.Errorf("%d requests were granted in %d s at a rate of %v", granted, seconds, rate)
+	}
+}
