mpquarantine, mpgateway: Try noted content right after the VMs have changed

An arbiter permits no trial for 0.4 s after the VMs that serve have changed, since the former arbiter may have one under way. The pause now holds for suspects only.

--- a/core/process/mpgateway/trials.go
+++ b/core/process/mpgateway/trials.go
@@ -39,16 +39,16 @@
 var _ mpproxy.Trials = (*trials)(nil)
 
 // Begin implements mpproxy.Trials.
-func (t *trials) Begin(ctx context.Context, f mpquarantine.Feature) (mpquarantine.Permission, func(lost bool), error) {
-	token := rand.Uint64() | 1
+func (t *trials) Begin(ctx context.Context, known mpquarantine.Finding) (mpquarantine.Permission, func(lost bool), error) {
+	f, token := known.Feature, rand.Uint64()|1
 	vm, ok := t.arbiterOf(f)
 	if !ok {
-		return t.beginHere(f, token)
+		return t.beginHere(known, token)
 	}
 	p, err := t.call(ctx, vm, f, &mpwire.TryRequest{Token: token})
 	switch {
 	case status.Code(err) == codes.Unimplemented:
-		return t.beginHere(f, token) // An earlier version, where each VM tries on its own.
+		return t.beginHere(known, token) // An earlier version, where each VM tries on its own.
 	case err != nil:
 		_ = level.Warn(t.logger).Log("msg", "no answer about a trial", "feature", f, "vm", vm.Name, "err", err)
 		return mpquarantine.Permission{}, nil, mperror.Wrap(err, "ask %s for a trial", vm.Name)
@@ -64,8 +64,8 @@
 	}, nil
 }
 
-func (t *trials) beginHere(f mpquarantine.Feature, token uint64) (mpquarantine.Permission, func(lost bool), error) {
-	return t.arbiter.Begin(time.Now(), f, token), func(lost bool) { t.arbiter.End(time.Now(), f, token, lost) }, nil
+func (t *trials) beginHere(known mpquarantine.Finding, token uint64) (mpquarantine.Permission, func(lost bool), error) {
+	return t.arbiter.Begin(time.Now(), known, token), func(lost bool) { t.arbiter.End(time.Now(), known.Feature, token, lost) }, nil
 }
 
 // arbiterOf returns the VM that permits the trials of f. It returns false if that is this one.
@@ -107,13 +107,14 @@
 // serve answers a call of another VM.
 func (t *trials) serve(now time.Time, r *mpwire.TryRequest) *mpwire.TryReply {
 	f := mpquarantine.Feature(r.GetFeature())
-	t.ledger.Learn(now, f, decodeLevel(r.GetLevel()))
+	level := decodeLevel(r.GetLevel())
+	t.ledger.Learn(now, f, level)
 	reply := &mpwire.TryReply{Level: uint32(t.ledger.LevelOf(now, f))}
 	if r.GetEnded() {
 		t.arbiter.End(now, f, r.GetToken(), r.GetLost())
 		return reply
 	}
-	p := t.arbiter.Begin(now, f, r.GetToken())
+	p := t.arbiter.Begin(now, mpquarantine.Finding{Feature: f, Level: level}, r.GetToken())
 	reply.Granted, reply.WaitMs = p.Granted, mptime.Millis(p.Wait)
 	return reply
 }
--- a/core/process/mpgateway/trials_test.go
+++ b/core/process/mpgateway/trials_test.go
@@ -60,12 +60,13 @@
 // and against one that VMs go on trying because no leader hands on what the trials showed.
 func TestTrialsOverAllVMs(t *testing.T) {
 	f := mpquarantine.ContentFeature(1)
+	known := mpquarantine.Finding{Feature: f, Level: mpquarantine.Suspect}
 	vms := []string{"a", "b", "c"}
 	// begin asks for a trial at each VM, and returns the number that is granted.
 	begin := func(t *testing.T, m map[string]*trials) (granted int, end func(lost bool)) {
 		t.Helper()
 		for _, vm := range vms {
-			p, done, err := m[vm].Begin(t.Context(), f)
+			p, done, err := m[vm].Begin(t.Context(), known)
 			if err == nil && p.Granted {
 				granted, end = granted+1, done
 			}
@@ -80,7 +81,7 @@
 	t.Run("VMs learn from each other what the last trial showed", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			m := newTrials(t, nil, vms...)
-			p, end, err := m["a"].Begin(t.Context(), f)
+			p, end, err := m["a"].Begin(t.Context(), known)
 			if err != nil || !p.Granted {
 				t.Fatalf("permission %+v, %v", p, err)
 			}
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -178,10 +178,10 @@
 	last    atomic.Uint64
 }
 
-func (s *soleArbiter) Begin(_ context.Context, f mpquarantine.Feature) (mpquarantine.Permission, func(lost bool), error) {
+func (s *soleArbiter) Begin(_ context.Context, known mpquarantine.Finding) (mpquarantine.Permission, func(lost bool), error) {
 	token := s.last.Add(1)
-	p := s.arbiter.Begin(time.Now(), f, token)
-	return p, func(lost bool) { s.arbiter.End(time.Now(), f, token, lost) }, nil
+	p := s.arbiter.Begin(time.Now(), known, token)
+	return p, func(lost bool) { s.arbiter.End(time.Now(), known.Feature, token, lost) }, nil
 }
 
 // upProber is a Prober for upstreams of which those in down have ended.
--- a/core/request/mpproxy/quarantine.go
+++ b/core/request/mpproxy/quarantine.go
@@ -76,9 +76,9 @@
 
 // Trials permits the trials of features, one at a time over all VMs.
 type Trials interface {
-	// Begin asks for a trial of f. If it is granted, end must be called once the trial's
-	// evidence is recorded; lost is set if it was not answered.
-	Begin(ctx context.Context, f mpquarantine.Feature) (p mpquarantine.Permission, end func(lost bool), err error)
+	// Begin asks for a trial of a feature. If it is granted, end must be called once the
+	// trial's evidence is recorded; lost is set if it was not answered.
+	Begin(ctx context.Context, known mpquarantine.Finding) (p mpquarantine.Permission, end func(lost bool), err error)
 }
 
 // trial is the permission to send a request. If feature is not 0, the request is sent as
@@ -137,7 +137,7 @@
 		}
 		return trial{}, 0
 	}
-	p, end, err := e.p.cfg.Trials.Begin(ctx, v.Feature)
+	p, end, err := e.p.cfg.Trials.Begin(ctx, v.Finding)
 	switch {
 	case err != nil && v.Level == mpquarantine.Noted:
 		free()
--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -243,7 +243,7 @@
 // silentArbiter does not answer.
 type silentArbiter struct{}
 
-func (silentArbiter) Begin(context.Context, mpquarantine.Feature) (mpquarantine.Permission, func(lost bool), error) {
+func (silentArbiter) Begin(context.Context, mpquarantine.Finding) (mpquarantine.Permission, func(lost bool), error) {
 	return mpquarantine.Permission{}, nil, errLost
 }
 
--- a/core/request/mpquarantine/arbiter.go
+++ b/core/request/mpquarantine/arbiter.go
@@ -25,8 +25,8 @@
 type Arbiter struct {
 	mu     sync.Mutex
 	trials map[Feature]arbitration
-	// quietUntil is when trials are permitted again after features may have changed their
-	// arbiter, since the former one may have permitted trials that still run.
+	// quietUntil is when trials of suspects are permitted again after features may have changed
+	// their arbiter, since the former one may have permitted trials that still run.
 	quietUntil time.Time
 }
 
@@ -41,12 +41,14 @@
 // NewArbiter returns an Arbiter without trials.
 func NewArbiter() *Arbiter { return &Arbiter{trials: map[Feature]arbitration{}} }
 
-// Begin permits a trial of f if none is in progress, and if the VMs had the time to learn the
-// outcome of the last one. The token identifies the trial.
-func (a *Arbiter) Begin(now time.Time, f Feature, token uint64) Permission {
+// Begin permits a trial of a feature if none is in progress, and if the VMs had the time to
+// learn the outcome of the last one. The finding is what the VM that asks knows; the token
+// identifies the trial.
+func (a *Arbiter) Begin(now time.Time, known Finding, token uint64) Permission {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if wait := a.quietUntil.Sub(now); wait > 0 {
+	f := known.Feature
+	if wait := a.quietUntil.Sub(now); wait > 0 && known.Level > Noted {
 		return Permission{Wait: wait}
 	}
 	if last, ok := a.trials[f]; ok && last.token != token && now.Before(last.freeAt) {
@@ -73,7 +75,7 @@
 	}
 }
 
-// Pause permits no trials for TrialDelay, after the VMs that serve have changed.
+// Pause permits no trials of suspects for TrialDelay, after the VMs that serve have changed.
 func (a *Arbiter) Pause(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/core/request/mpquarantine/arbiter_test.go
+++ b/core/request/mpquarantine/arbiter_test.go
@@ -18,7 +18,9 @@
 		}
 	}
 	granted, busy := Permission{Granted: true}, Permission{Wait: busyWait}
-	begin := func(a *Arbiter, ms int, f Feature, token uint64) Permission { return a.Begin(at(ms), f, token) }
+	begin := func(a *Arbiter, ms int, f Feature, token uint64) Permission {
+		return a.Begin(at(ms), Finding{f, Suspect}, token)
+	}
 	t.Run("one trial of a feature at a time", func(t *testing.T) {
 		a := NewArbiter()
 		check(t, granted, begin(a, 0, f, 1))
@@ -62,4 +64,9 @@
 		check(t, Permission{Wait: TrialDelay}, begin(a, 0, f, 1))
 		check(t, granted, begin(a, int(TrialDelay.Milliseconds()), f, 1))
 	})
+	t.Run("noted content is tried also then", func(t *testing.T) {
+		a := NewArbiter()
+		a.Pause(at(0))
+		check(t, granted, a.Begin(at(0), Finding{f, Noted}, 1))
+	})
 }
--- a/core/request/mpquarantine/pattern_test.go
+++ b/core/request/mpquarantine/pattern_test.go
@@ -147,7 +147,7 @@
 		if at(ms).Sub(v.Since) < TrialDelay {
 			return
 		}
-		end, ok := s.beginTrial(ms, vm, v.Feature)
+		end, ok := s.beginTrial(ms, vm, v.Finding)
 		if !ok {
 			return // Such a request waits; here it counts as refused.
 		}
@@ -181,10 +181,10 @@
 }
 
 // beginTrial asks the arbiter for a trial by vm. What they know of the feature goes with it.
-func (s *simulation) beginTrial(ms, vm int, f Feature) (end func(ms int, lost bool), ok bool) {
+func (s *simulation) beginTrial(ms, vm int, known Finding) (end func(ms int, lost bool), ok bool) {
 	s.token++
-	token := s.token
-	if !s.arbiter.Begin(at(ms), f, token).Granted {
+	f, token := known.Feature, s.token
+	if !s.arbiter.Begin(at(ms), known, token).Granted {
 		return nil, false
 	}
 	s.vms[vm].Learn(at(ms), f, s.vms[0].levelOf(at(ms), f))
--- a/core/request/mpquarantine/repeat_test.go
+++ b/core/request/mpquarantine/repeat_test.go
@@ -201,7 +201,7 @@
 		}
 		s.token++
 		token := s.token
-		p := s.arbiter.Begin(at(ms), v.Feature, token)
+		p := s.arbiter.Begin(at(ms), v.Finding, token)
 		if level := s.vms[0].levelOf(at(ms), v.Feature); level > v.Level {
 			l.Learn(at(ms), v.Feature, level)
 		}
