mpgateway: Ask one view for the keeper, and free its load test of data races

Both are atomic now. A request read the view twice to find the keeper of a rate; between two views that gave no VM, and the request fell back to the VM's own share.

--- a/core/process/mpgateway/quotas.go
+++ b/core/process/mpgateway/quotas.go
@@ -85,11 +85,12 @@
 
 // Take implements mpproxy.Quotas.
 func (q *quotas) Take(ctx context.Context, upstream string, rate float64) time.Duration {
-	serving := q.view().Serving()
+	view := q.view()
+	serving := view.Serving()
 	if len(serving) == 0 {
 		return q.grants.Take(time.Now(), upstream, rate)
 	}
-	vm, _ := q.view().VM(mprank.OfName(upstream, vmNames(serving))[0])
+	vm, _ := view.VM(mprank.OfName(upstream, vmNames(serving))[0])
 	if vm.Name == q.vm {
 		return q.grants.Take(time.Now(), upstream, rate)
 	}
--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,7 +81,9 @@
 	table *mproute.Table
 	list  *mplist.List
 	vms   []*limitVM
-	view  *mpview.View
+	// peers are the VMs as they reach each other.
+	peers []atomic.Pointer[limitVM]
+	view  atomic.Pointer[mpview.View]
 	// leader holds the limits that the VMs told, unless there is no leader.
 	leader     *mpquota.Limits
 	leaderless bool
@@ -129,7 +132,7 @@
 	quotas *quotas
 	proxy  *mpproxy.Proxy
 	// isCut is set while no other VM reaches this one.
-	isCut bool
+	isCut atomic.Bool
 }
 
 // limitPeer hands calls to the quotas of another VM, unless one of the two is cut off.
@@ -139,7 +142,7 @@
 }
 
 func (p limitPeer) Take(_ context.Context, r *mpwire.TakeRequest, _ ...grpc.CallOption) (*mpwire.TakeReply, error) {
-	if p.from.isCut || p.to.isCut {
+	if p.from.isCut.Load() || p.to.isCut.Load() {
 		<-time.After(keeperTimeout)
 		return nil, context.DeadlineExceeded
 	}
@@ -152,10 +155,10 @@
 	name := fmt.Sprint("vm", i)
 	vm := &limitVM{}
 	vm.quotas = &quotas{
-		vm: name, view: func() *mpview.View { return d.view }, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}), ownShare: newOwnShare(),
+		vm: name, view: d.view.Load, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}), ownShare: newOwnShare(),
 		dial: func(address string) (mpwire.PeerClient, error) {
 			n, err := strconv.Atoi(strings.TrimPrefix(address, "vm"))
-			return limitPeer{from: vm, to: d.vms[n]}, err
+			return limitPeer{from: vm, to: d.peers[n].Load()}, err
 		},
 		metrics: mpmetric.New(), logger: log.NewNopLogger(),
 	}
@@ -165,6 +168,7 @@
 		Transport: d, Quarantine: mpquarantine.New(), Quotas: vm.quotas, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	d.vms[i] = vm
+	d.peers[i].Store(vm)
 	d.setServing(i, true)
 }
 
@@ -175,11 +179,11 @@
 	if serves {
 		op = mpview.Join{VM: mpview.VM{Name: name, Address: name, Peer: name}}
 	}
-	next, err := d.view.Apply(op)
+	next, err := d.view.Load().Apply(op)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.view = next
+	d.view.Store(next)
 }
 
 func newLimitDeployment(t *testing.T, seed uint64, p limitLoad) *limitDeployment {
@@ -197,9 +201,10 @@
 		rows = append(rows, mplist.Row{ID: fmt.Sprint("u", i), Pool: "app", Address: fmt.Sprintf("u%d:80", i), DC: "a", Slots: 8})
 	}
 	d := &limitDeployment{
-		limitLoad: p, t: t, begin: time.Now(), view: mpview.Empty(), leader: mpquota.NewLimits(), vms: make([]*limitVM, p.count), r: rand.New(rand.NewPCG(seed, 3)), table: table, list: mplist.New(time.Now(), rows),
+		limitLoad: p, t: t, begin: time.Now(), leader: mpquota.NewLimits(), vms: make([]*limitVM, p.count), peers: make([]atomic.Pointer[limitVM], p.count), r: rand.New(rand.NewPCG(seed, 3)), table: table, list: mplist.New(time.Now(), rows),
 		arrivals: map[string][]time.Duration{},
 	}
+	d.view.Store(mpview.Empty())
 	for i := range d.vms {
 		d.start(i)
 	}
@@ -217,7 +222,7 @@
 		}
 		for i, vm := range d.vms {
 			// Each VM renews its lease every half a second, at a time of its own.
-			if (now+time.Duration(i)*40*time.Millisecond)%(500*time.Millisecond) < step && !vm.isCut && !d.leaderless {
+			if (now+time.Duration(i)*40*time.Millisecond)%(500*time.Millisecond) < step && !vm.isCut.Load() && !d.leaderless {
 				d.leader.Merge(time.Now(), vm.quotas.limits.Entries(time.Now()))
 				vm.quotas.limits.Merge(time.Now(), d.leader.Entries(time.Now()))
 			}
@@ -320,7 +325,7 @@
 	}
 	cut := func(second int, d *limitDeployment) {
 		for i, vm := range d.vms {
-			vm.isCut = second > 6 && second%6 < 3 && i%3 == second/6%3
+			vm.isCut.Store(second > 6 && second%6 < 3 && i%3 == second/6%3)
 		}
 	}
 	// The keeper of u0 is silent for four seconds in eight, and leaves the view after two.
@@ -328,11 +333,11 @@
 		for i, vm := range d.vms {
 			switch name := fmt.Sprint("vm", i); {
 			case second%8 == 0:
-				vm.isCut = name == mprank.OfName("u0", vmNames(d.view.Serving()))[0]
-			case second%8 == 2 && vm.isCut:
+				vm.isCut.Store(name == mprank.OfName("u0", vmNames(d.view.Load().Serving()))[0])
+			case second%8 == 2 && vm.isCut.Load():
 				d.setServing(i, false)
-			case second%8 == 4 && vm.isCut:
-				vm.isCut = false
+			case second%8 == 4 && vm.isCut.Load():
+				vm.isCut.Store(false)
 				d.setServing(i, true)
 			}
 		}
