mpgateway: Do not take a caller that left for a silent keeper

A call to the keeper of a rate that ended because the caller of the request had left counted as the keeper's silence, and the VM did not ask it for a second: it used its own, smaller share. Found by reading; TestCallerThatLeavesDoesNotSilenceKeeper failed before.

--- a/core/process/mpgateway/quotas.go
+++ b/core/process/mpgateway/quotas.go
@@ -96,8 +96,11 @@
 	}
 	if !q.isSilent(vm.Name) {
 		reply, err := q.call(ctx, vm, &mpwire.TakeRequest{Upstream: upstream, Rate: rate})
-		if err == nil {
+		switch {
+		case err == nil:
 			return mptime.FromMillis(reply.GetWaitMs())
+		case ctx.Err() != nil:
+			return silentPeriod // The request has ended, which says nothing about the keeper.
 		}
 		q.recordSilence(vm.Name, err)
 	}
--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -371,3 +371,22 @@
 		})
 	}
 }
+
+// Guards against a keeper that counts as silent because a caller left while it was asked.
+func TestCallerThatLeavesDoesNotSilenceKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newLimitDeployment(t, 1, limitLoad{count: 2, upstreams: 1})
+		keeper := mprank.OfName("u0", vmNames(d.view.Load().Serving()))[0]
+		other := d.vms[0]
+		if keeper == other.quotas.vm {
+			other = d.vms[1]
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		d.vms[0].isCut.Store(true)
+		other.quotas.Take(ctx, "u0", 1)
+		if other.quotas.isSilent(keeper) {
+			t.Errorf("keeper %s is not asked any more", keeper)
+		}
+	})
+}
--- a/core/request/mpquarantine/ledger.go
+++ b/core/request/mpquarantine/ledger.go
@@ -21,8 +21,8 @@
 	// clearedMemory is how long a feature that was cleared rises to Noted only. One that
 	// crashes upstreams is never cleared by an answer.
 	clearedMemory = 10 * time.Second
-	// answeredPeriod is the least time for which an answer speaks for a content. It is at most
-	// forgotten after twice that.
+	// answeredPeriod is the least time for which an answer speaks for a content. It is
+	// forgotten after twice that at the latest.
 	answeredPeriod = 2500 * time.Millisecond
 	// reclearWindow is how long after an answer cleared a feature evidence of other VMs
 	// against it is removed again, since they did not know of the answer.
