--- a/core/request/mpproxy/limit_test.go
+++ b/core/request/mpproxy/limit_test.go
@@ -14,6 +14,13 @@
 	"mustardpost.org/core/request/mpquota"
 )
 
+// noQuotas drops what upstreams say of their rates.
+type noQuotas struct{}
+
+func (noQuotas) Observe(time.Time, string, mpquota.Statement)               {}
+func (noQuotas) Rate(string) (float64, bool)                                { return 0, false }
+func (noQuotas) Take(context.Context, string, float64) (wait time.Duration) { return 0 }
+
 // denyingQuotas denies requests to upstreams with a limit, for the given time.
 type denyingQuotas struct {
 	limits *mpquota.Limits
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,13 +113,6 @@
 	return mpquota.ParseStatement(h.Values("Limit"))
 }
 
-// noQuotas drops what upstreams say of their rates.
-type noQuotas struct{}
-
-func (noQuotas) Observe(time.Time, string, mpquota.Statement)               {}
-func (noQuotas) Rate(string) (float64, bool)                                { return 0, false }
-func (noQuotas) Take(context.Context, string, float64) (wait time.Duration) { return 0 }
-
 type staticState struct {
 	table *mproute.Table
 	list  *mplist.List
@@ -172,18 +164,6 @@
 func (noEvidence) Raise([]mpquarantine.Finding) {}
 func (noEvidence) Clear([]mpquarantine.Feature) {}
 
-// soleArbiter permits the trials of a VM that is alone.
-type soleArbiter struct {
-	arbiter *mpquarantine.Arbiter
-	last    atomic.Uint64
-}
-
-func (s *soleArbiter) Begin(_ context.Context, known mpquarantine.Finding) (mpquarantine.Permission, func(lost bool), error) {
-	token := s.last.Add(1)
-	p := s.arbiter.Begin(time.Now(), known, token)
-	return p, func(lost bool) { s.arbiter.End(time.Now(), known.Feature, token, lost) }, nil
-}
-
 // upProber is a Prober for upstreams of which those in down have ended.
 type upProber struct {
 	mu   sync.Mutex
--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -240,6 +241,18 @@
 	})
 }
 
+// soleArbiter permits the trials of a VM that is alone.
+type soleArbiter struct {
+	arbiter *mpquarantine.Arbiter
+	last    atomic.Uint64
+}
+
+func (s *soleArbiter) Begin(_ context.Context, known mpquarantine.Finding) (mpquarantine.Permission, func(lost bool), error) {
+	token := s.last.Add(1)
+	p := s.arbiter.Begin(time.Now(), known, token)
+	return p, func(lost bool) { s.arbiter.End(time.Now(), known.Feature, token, lost) }, nil
+}
+
 // silentArbiter does not answer.
 type silentArbiter struct{}
 
