--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -158,12 +158,6 @@
 	e.freed = append(e.freed, handles...)
 }
 
-// noEvidence drops the evidence that a VM hands on.
-type noEvidence struct{}
-
-func (noEvidence) Raise([]mpquarantine.Finding) {}
-func (noEvidence) Clear([]mpquarantine.Feature) {}
-
 // upProber is a Prober for upstreams of which those in down have ended.
 type upProber struct {
 	mu   sync.Mutex
--- a/core/request/mpproxy/quarantine_test.go
+++ b/core/request/mpproxy/quarantine_test.go
@@ -241,6 +241,12 @@
 	})
 }
 
+// noEvidence drops the evidence that a VM hands on.
+type noEvidence struct{}
+
+func (noEvidence) Raise([]mpquarantine.Finding) {}
+func (noEvidence) Clear([]mpquarantine.Feature) {}
+
 // soleArbiter permits the trials of a VM that is alone.
 type soleArbiter struct {
 	arbiter *mpquarantine.Arbiter
