--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -154,7 +154,7 @@
 func (e *exchange) attempt(ctx context.Context, row mplist.Row, t trial, timeout time.Duration, last bool) (attemptResult, string) {
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
-	e.upstream = row.ID
+	e.upstream, e.version = row.ID, row.Version
 	e.framing, e.tail, e.beganAt, e.isSound = noBody, 0, time.Time{}, false
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -180,7 +180,7 @@
 // upstream's health. Other attempts are covered by the log line of the request.
 func (e *exchange) logAttempt(row mplist.Row, result attemptResult, change mpselect.HealthChange, why string, took time.Duration) {
 	if result != answered && e.p.failureSummaries.ShouldLog(result.String()+" at "+row.Pool, e.r.ID) {
-		_ = level.Info(e.p.cfg.Logger).Log("msg", "attempt", "id", e.r.ID, "pool", row.Pool, "upstream", row.ID, "dc", row.DC,
+		_ = level.Info(e.p.cfg.Logger).Log("msg", "attempt", "id", e.r.ID, "pool", row.Pool, "upstream", row.ID, "version", row.Version, "dc", row.DC,
 			"send", e.sends, "ended", result, "why", why, "took", took, "left", e.timeLeft(),
 			"cold", e.p.cfg.State.Usable().ColdUntil(row).After(e.p.cfg.Clock()), "began", !e.beganAt.IsZero(),
 			"parts", partNames(e.r.sharedParts()), "content", mpid.Hex(e.r.contentHash()))
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -117,6 +117,8 @@
 	// limitWait is when the rate of an upstream allows the request, if no other is usable.
 	limitWait time.Duration
 	upstream  string
+	// version is that of the software of upstream.
+	version string
 	// framing is that of the last response from an upstream, and tail how many bytes of it
 	// came after its last event.
 	framing framing
@@ -348,7 +350,7 @@
 		return
 	}
 	_ = level.Info(e.p.cfg.Logger).Log("msg", "request", "id", e.r.ID, "route", route, "status", e.status,
-		"reason", e.reason, "upstream", e.upstream, "sends", e.sends, "stages", e.stagesDuration, "head", e.timeToHeader, "first", e.timeToFirstEvent,
+		"reason", e.reason, "upstream", e.upstream, "version", e.version, "resumes", e.r.Resumes, "after", e.r.LastEventID, "sends", e.sends, "stages", e.stagesDuration, "head", e.timeToHeader, "first", e.timeToFirstEvent,
 		"pause", e.longestGap, "framing", e.framing, "tail", e.tail,
 		"took", e.p.cfg.Clock().Sub(e.start), "plan", e.table.Version())
 }
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -47,6 +47,9 @@
 	PieceKey string
 	// LastEventID is the ID of the last event that the caller received.
 	LastEventID string
+	// Resumes is the ID of the request with which the caller received the first event of a
+	// stream that it resumes.
+	Resumes string
 }
 
 // Attempt is one try to send a request to an upstream.
--- a/core/version/mplist/mplist.go
+++ b/core/version/mplist/mplist.go
@@ -30,6 +30,9 @@
 	ColdMs int64 `msgpack:"cold"`
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int `msgpack:"slots"`
+	// Version is that of the upstream's software. Nothing is known of an upstream without one,
+	// which does not make it equal to another such upstream.
+	Version string `msgpack:"version"`
 }
 
 // List is an immutable snapshot of the platform's list.
