mporigin, mpproxy, mpgateway: Let streams go on at the version that began them

Callers saw: of streams that broke off, those that went on at another software version of the service had the first part of their text from one version and the rest from another, with nothing in the answer to show it. When all entry VMs were killed, many streams were joined that way.

Cause: the state on which the correctness of a caller's next request depends was nowhere. No VM knew versions; which upstream had begun a stream was known to one VM, while it lived.

Change: before the first event of a resumable stream leaves, its pool and version are recorded at two voters, which are not killed together with the entries. A request that resumes a stream is bound to that origin, and so are the attempts within a response. A stream whose origin nobody knows is refused at once, unless the pool had one known version for twice as long as such a stream lasts.

It works because an origin never changes once recorded: each request of a caller has an ID of its own, so that the answer of any one voter is right, and no answer leads to a refusal. Upstreams of the tests get versions, since what is unknown equals nothing; their bounds stay.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -29,6 +29,7 @@
 	"mustardpost.org/core/process/mpusage"
 	"mustardpost.org/core/process/mpvoter"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
@@ -113,6 +114,7 @@
 	evidence     *evidence
 	trials       *trials
 	quotas       *quotas
+	origins      *origins
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -144,7 +146,11 @@
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics})
 	g.quotas = &quotas{
 		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}),
-		ownShare: newOwnShare(), metrics: g.metrics, logger: cfg.Logger,
+		ownShare: newOwnShare(), silent: newSilence(), metrics: g.metrics, logger: cfg.Logger,
+	}
+	g.origins = &origins{
+		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, ledger: mporigin.New(),
+		history: mporigin.NewHistory(), silence: newSilence(), metrics: g.metrics, logger: cfg.Logger,
 	}
 	g.member = mpmember.New(mpmember.Config{
 		Self: mpview.VM{
@@ -180,6 +186,7 @@
 		Evidence:      g.evidence,
 		Trials:        g.trials,
 		Quotas:        g.quotas,
+		Origins:       g.origins,
 		Prober:        mpupstream.NewProber(cfg.LocalIP),
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
@@ -209,6 +216,7 @@
 	g.metrics.Gauge("quarantine.suspects", func() any { return g.quarantine.Count(mpquarantine.Suspect, mpquarantine.StrongSuspect) })
 	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
 	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
+	g.metrics.Gauge("origins", func() any { return g.origins.ledger.Count() })
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
 }
 
@@ -241,6 +249,16 @@
 	return p.gateway.quotas.serve(time.Now(), r), nil
 }
 
+// Note records which software began a stream.
+func (p peer) Note(_ context.Context, r *mpwire.NoteRequest) (*mpwire.NoteReply, error) {
+	return p.gateway.origins.serveNote(time.Now(), r), nil
+}
+
+// Find returns which software began a stream.
+func (p peer) Find(_ context.Context, r *mpwire.FindRequest) (*mpwire.FindReply, error) {
+	return p.gateway.origins.serveFind(time.Now(), r), nil
+}
+
 // Run takes part in the deployment until ctx is done, or returns the error of a
 // component that cannot continue. When leave is done, it stops waiting for other voters.
 func (g *Gateway) Run(ctx, leave context.Context) error {
@@ -278,6 +296,7 @@
 	}
 	if g.cfg.CallerAddress != "" {
 		go mptime.Every(ctx, fallbackListInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
+		go mptime.Every(ctx, historyInterval, func(now time.Time) { g.origins.checkLease(now, g.member.HasLease(now)) })
 	}
 	go g.evidence.run(ctx)
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
@@ -359,7 +378,8 @@
 	}
 }
 
-func (g *Gateway) onList(_ time.Time, list *mplist.List) {
+func (g *Gateway) onList(now time.Time, list *mplist.List) {
+	g.origins.observe(now, list)
 	_ = level.Info(g.cfg.Logger).Log("msg", "list of upstreams adopted", "rows", len(list.Rows()), "hash", list.Hash())
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/core/process/mpgateway/origins.go
@@ -0,0 +1,236 @@
+package mpgateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/common/mprank"
+	"mustardpost.org/core/common/mptime"
+	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/request/mporigin"
+	"mustardpost.org/core/request/mpproxy"
+	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mpview"
+)
+
+const (
+	// originCopies is the number of voters that have an origin before the first event of its
+	// stream leaves, so that it outlives all entry VMs and a voter.
+	originCopies = 2
+	// noteTimeout limits a call to a voter, and noteWait how long a first event waits for all of
+	// them. An event is late a tenth of a second after its upstream wrote it.
+	noteTimeout = 500 * time.Millisecond
+	noteWait    = 60 * time.Millisecond
+	// spareDelay is when a further voter is asked if one has not answered. It is above the round
+	// trip between data centres.
+	spareDelay = 25 * time.Millisecond
+	// findTimeout limits the wait for the voters if none of them has an origin.
+	findTimeout = 150 * time.Millisecond
+	// historyInterval is how often a VM checks that its list of upstreams is the newest.
+	historyInterval = 500 * time.Millisecond
+)
+
+// origins keeps which software began the streams of callers. The voters have the origins of all
+// VMs in memory, each voter those of its share of streams, since they are not killed together
+// with the VMs that serve callers.
+type origins struct {
+	vm      string
+	view    func() *mpview.View
+	dial    func(address string) (mpwire.PeerClient, error)
+	ledger  *mporigin.Ledger
+	history *mporigin.History
+	silence *silence
+	metrics *mpmetric.Set
+	logger  log.Logger
+}
+
+var _ mpproxy.Origins = (*origins)(nil)
+
+// keepers returns the voters in the order in which they are asked to keep the origin of a
+// stream. Those that did not answer lately come last.
+func (o *origins) keepers(now time.Time, key mporigin.Key) []mpview.VM {
+	view := o.view()
+	var voters []string
+	for _, vm := range view.VMs() {
+		if vm.Voter {
+			voters = append(voters, vm.Name)
+		}
+	}
+	var answering, silent []mpview.VM
+	for _, name := range mprank.OfName(string(key[:]), voters) {
+		if vm, _ := view.VM(name); o.silence.includes(now, name) {
+			silent = append(silent, vm)
+		} else {
+			answering = append(answering, vm)
+		}
+	}
+	return append(answering, silent...)
+}
+
+// Note implements mpproxy.Origins.
+func (o *origins) Note(ctx context.Context, key mporigin.Key, origin mporigin.Origin, ttl time.Duration) {
+	now := time.Now()
+	o.ledger.Note(now, key, origin, ttl)
+	kept := o.spread(context.WithoutCancel(ctx), key, origin, ttl)
+	timer := time.NewTimer(noteWait)
+	defer timer.Stop()
+	select {
+	case ok := <-kept:
+		o.metrics.ObserveDuration("origins.note", time.Since(now))
+		if !ok {
+			o.metrics.Add("origins.unkept", 1)
+		}
+	case <-timer.C:
+		o.metrics.Add("origins.unkept", 1)
+	case <-ctx.Done():
+	}
+}
+
+// spread asks voters, one after another while too few have answered, to keep an origin. The
+// channel receives whether originCopies of them do.
+func (o *origins) spread(ctx context.Context, key mporigin.Key, origin mporigin.Origin, ttl time.Duration) <-chan bool {
+	keepers := o.keepers(time.Now(), key)
+	done := make(chan bool, 1)
+	answers := make(chan bool, len(keepers))
+	next, pending, copies := 0, 0, 0
+	ask := func() {
+		if next < len(keepers) {
+			vm := keepers[next]
+			go func() { answers <- o.noteAt(ctx, vm, key, origin, ttl) }()
+			next++
+			pending++
+		}
+	}
+	go func() {
+		for range originCopies {
+			ask()
+		}
+		spare := time.NewTicker(spareDelay)
+		defer spare.Stop()
+		for pending > 0 && copies < originCopies {
+			select {
+			case ok := <-answers:
+				pending--
+				if ok {
+					copies++
+				} else {
+					ask()
+				}
+			case <-spare.C:
+				ask()
+			}
+		}
+		done <- copies >= min(originCopies, len(keepers)) && copies > 0
+	}()
+	return done
+}
+
+// noteAt asks a voter to keep an origin, and reports whether it does.
+func (o *origins) noteAt(ctx context.Context, vm mpview.VM, key mporigin.Key, origin mporigin.Origin, ttl time.Duration) bool {
+	if vm.Name == o.vm {
+		return o.ledger.Note(time.Now(), key, origin, ttl)
+	}
+	peer, err := o.dial(vm.Peer)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	reply, err := peer.Note(ctx, &mpwire.NoteRequest{Stream: key[:], Pool: origin.Pool, Version: origin.Version, LeftMs: mptime.Millis(ttl)})
+	if err != nil {
+		if o.silence.add(time.Now(), vm.Name) {
+			_ = level.Warn(o.logger).Log("msg", "origin not kept", "vm", vm.Name, "err", err)
+		}
+		return false
+	}
+	return reply.GetKept()
+}
+
+// Find implements mpproxy.Origins.
+func (o *origins) Find(ctx context.Context, key mporigin.Key) (mporigin.Origin, bool) {
+	now := time.Now()
+	if origin, ok := o.ledger.Find(now, key); ok {
+		return origin, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	type answer struct {
+		origin mporigin.Origin
+		ok     bool
+	}
+	keepers := o.keepers(now, key)
+	answers := make(chan answer, len(keepers))
+	for _, vm := range keepers {
+		go func() {
+			origin, ok := o.findAt(ctx, vm, key)
+			answers <- answer{origin, ok}
+		}()
+	}
+	for range keepers {
+		if a := <-answers; a.ok {
+			o.metrics.Add("origins.found", 1)
+			return a.origin, true
+		}
+	}
+	return mporigin.Origin{}, false
+}
+
+func (o *origins) findAt(ctx context.Context, vm mpview.VM, key mporigin.Key) (mporigin.Origin, bool) {
+	if vm.Name == o.vm {
+		return mporigin.Origin{}, false // Find has looked here.
+	}
+	peer, err := o.dial(vm.Peer)
+	if err != nil {
+		return mporigin.Origin{}, false
+	}
+	reply, err := peer.Find(ctx, &mpwire.FindRequest{Stream: key[:]})
+	if err != nil || !reply.GetFound() {
+		return mporigin.Origin{}, false
+	}
+	return mporigin.Origin{Pool: reply.GetPool(), Version: reply.GetVersion()}, true
+}
+
+// Sole implements mpproxy.Origins.
+func (o *origins) Sole(now time.Time, pool string, span time.Duration) (string, bool) {
+	return o.history.Sole(now, pool, span)
+}
+
+// serveNote answers a call of another VM.
+func (o *origins) serveNote(now time.Time, r *mpwire.NoteRequest) *mpwire.NoteReply {
+	key, ok := decodeStream(r.GetStream())
+	origin := mporigin.Origin{Pool: r.GetPool(), Version: r.GetVersion()}
+	return &mpwire.NoteReply{Kept: ok && o.ledger.Note(now, key, origin, mptime.FromMillis(r.GetLeftMs()))}
+}
+
+// serveFind answers a call of another VM.
+func (o *origins) serveFind(now time.Time, r *mpwire.FindRequest) *mpwire.FindReply {
+	key, ok := decodeStream(r.GetStream())
+	if !ok {
+		return &mpwire.FindReply{}
+	}
+	origin, found := o.ledger.Find(now, key)
+	return &mpwire.FindReply{Found: found, Pool: origin.Pool, Version: origin.Version}
+}
+
+func decodeStream(b []byte) (mporigin.Key, bool) {
+	if len(b) != len(mporigin.Key{}) {
+		return mporigin.Key{}, false
+	}
+	return mporigin.Key(b), true
+}
+
+// observe records a list of upstreams.
+func (o *origins) observe(now time.Time, list *mplist.List) { o.history.Observe(now, list) }
+
+// checkLease interrupts the history while this VM may miss a newer list of upstreams.
+func (o *origins) checkLease(now time.Time, hasLease bool) {
+	if hasLease {
+		o.history.Resume(now)
+	} else {
+		o.history.Interrupt()
+	}
+}
--- a/core/process/mpgateway/origins_test.go
+++ b/core/process/mpgateway/origins_test.go
@@ -16,10 +16,13 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"google.golang.org/grpc"
 
 	"mustardpost.org/core/common/mpset"
+	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
@@ -81,10 +84,48 @@
 
 // resumeVM is one process. It knows nothing of those before it.
 type resumeVM struct {
-	name  string
-	proxy *mpproxy.Proxy
-	ctx   context.Context
-	kill  context.CancelFunc
+	name    string
+	origins *origins
+	proxy   *mpproxy.Proxy
+	ctx     context.Context
+	kill    context.CancelFunc
+	// isFrozen is set while the VM answers no other one.
+	isFrozen atomic.Bool
+}
+
+// resumePeer hands calls to the VM that runs when they arrive.
+type resumePeer struct {
+	mpwire.PeerClient
+	d *resumeDeployment
+	i int
+}
+
+func (p resumePeer) reach(ctx context.Context) (*resumeVM, error) {
+	<-time.After(10 * time.Millisecond)
+	p.d.mu.Lock()
+	vm := p.d.vms[p.i]
+	p.d.mu.Unlock()
+	if vm.isFrozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return vm, nil
+}
+
+func (p resumePeer) Note(ctx context.Context, r *mpwire.NoteRequest, _ ...grpc.CallOption) (*mpwire.NoteReply, error) {
+	vm, err := p.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return vm.origins.serveNote(time.Now(), r), nil
+}
+
+func (p resumePeer) Find(ctx context.Context, r *mpwire.FindRequest, _ ...grpc.CallOption) (*mpwire.FindReply, error) {
+	vm, err := p.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return vm.origins.serveFind(time.Now(), r), nil
 }
 
 // Table implements mpproxy.RoutingState.
@@ -141,11 +182,20 @@
 // start adds or replaces a VM.
 func (d *resumeDeployment) start(i int) {
 	vm := &resumeVM{name: fmt.Sprint("vm", i)}
+	vm.origins = &origins{
+		vm: vm.name, view: d.view.Load, ledger: mporigin.New(), history: mporigin.NewHistory(), silence: newSilence(),
+		dial: func(address string) (mpwire.PeerClient, error) {
+			n, err := strconv.Atoi(strings.TrimPrefix(address, "vm"))
+			return resumePeer{d: d, i: n}, err
+		},
+		metrics: mpmetric.New(), logger: log.NewNopLogger(),
+	}
+	vm.origins.observe(time.Now(), d.list.Load())
 	vm.ctx, vm.kill = context.WithCancel(d.t.Context())
 	budget := mpbudget.New(mpbudget.Config{Ratio: 1, Burst: 100})
 	vm.proxy = mpproxy.New(mpproxy.Config{
 		DC: "a", State: d, Dialect: resumeDialect{}, Selector: mpselect.New(mpselect.Config{VM: vm.name}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: d, Quarantine: mpquarantine.New(), Evidence: &evidence{}, Prober: noProber{}, Quotas: &quotas{limits: mpquota.NewLimits()},
+		Transport: d, Quarantine: mpquarantine.New(), Evidence: &evidence{}, Prober: noProber{}, Quotas: &quotas{limits: mpquota.NewLimits()}, Origins: vm.origins,
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	d.mu.Lock()
@@ -173,6 +223,11 @@
 		rows = append(rows, mplist.Row{ID: id, Pool: "app", Address: id + ":80", DC: "a", Slots: 64, Version: v})
 	}
 	d.list.Store(mplist.New(time.Now(), rows))
+	for _, vm := range d.vms {
+		if vm != nil {
+			vm.origins.observe(time.Now(), d.list.Load())
+		}
+	}
 }
 
 func newResumeDeployment(t *testing.T, seed uint64, p resumeLoad) *resumeDeployment {
@@ -316,9 +371,39 @@
 		}
 	}
 	for name, p := range map[string]resumeLoad{
-		"upstreams that break off":     {entries: 6, voters: 5, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, breaking: 0.05},
-		"all entries are killed":       {entries: 6, voters: 5, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, disturb: killEntries},
-		"entries killed, breaking off": {entries: 3, voters: 3, versions: []string{"v1", "v1", "v2", "v2"}, breaking: 0.03, disturb: killEntries},
+		"upstreams that break off": {entries: 6, voters: 5, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, breaking: 0.05},
+		"all entries are killed":   {entries: 6, voters: 5, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, disturb: killEntries},
+		"all entries and a voter are killed": {entries: 6, voters: 5, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, disturb: func(second int, d *resumeDeployment) {
+			if second%4 == 3 {
+				d.killAll(0, d.entries+1)
+			}
+		}},
+		"a frozen voter": {entries: 6, voters: 5, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, disturb: func(second int, d *resumeDeployment) {
+			d.vms[d.entries+second%d.voters].isFrozen.Store(second%4 < 2)
+			killEntries(second, d)
+		}},
+		"every VM is killed": {entries: 6, voters: 5, mayRefuse: true, versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, disturb: func(second int, d *resumeDeployment) {
+			if second%4 == 3 {
+				d.killAll(0, d.entries+d.voters)
+			}
+		}},
+		"all voters are frozen": {entries: 6, voters: 3, mayRefuse: true, versions: []string{"v1", "v1", "v2", "v2"}, disturb: func(second int, d *resumeDeployment) {
+			for i := range d.voters {
+				d.vms[d.entries+i].isFrozen.Store(second%8 > 1)
+			}
+			killEntries(second, d)
+		}},
+		"a new version replaces the old one": {entries: 6, voters: 5, mayRefuse: true, versions: []string{"v1", "v1"}, breaking: 0.03, disturb: func(second int, d *resumeDeployment) {
+			switch second {
+			case 6:
+				d.setVersions("v1", "v1", "v2", "v2")
+			case 12:
+				d.setVersions("v2", "v2")
+			}
+			killEntries(second, d)
+		}},
+		"upstreams of unknown versions": {entries: 2, voters: 3, mayRefuse: true, versions: []string{"", "", "v1", "v1"}, breaking: 0.05},
+		"entries killed, breaking off":  {entries: 3, voters: 3, versions: []string{"v1", "v1", "v2", "v2"}, breaking: 0.03, disturb: killEntries},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
--- a/core/process/mpgateway/quotas.go
+++ b/core/process/mpgateway/quotas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -27,9 +26,6 @@
 	// ownShareDivisor is how many times smaller than an equal share of a rate the share is that
 	// a VM uses on its own: other VMs may still have the whole rate from the keeper.
 	ownShareDivisor = 3
-	// silentPeriod is how long a keeper that did not answer is not asked. One that has stopped
-	// leaves the view after about two seconds.
-	silentPeriod = time.Second
 )
 
 // newOwnShare returns the grants that a VM makes itself, which begin at a random moment of the
@@ -55,10 +51,8 @@
 	grants, ownShare *mpquota.Grants
 	metrics          *mpmetric.Set
 	logger           log.Logger
-
-	mu sync.Mutex
-	// silentUntil is until when a keeper that did not answer is not asked again.
-	silentUntil map[string]time.Time
+	// silent are keepers that did not answer.
+	silent *silence
 }
 
 var (
@@ -94,7 +88,7 @@
 	if vm.Name == q.vm {
 		return q.grants.Take(time.Now(), upstream, rate)
 	}
-	if !q.isSilent(vm.Name) {
+	if !q.silent.includes(time.Now(), vm.Name) {
 		reply, err := q.call(ctx, vm, &mpwire.TakeRequest{Upstream: upstream, Rate: rate})
 		switch {
 		case err == nil:
@@ -108,20 +102,9 @@
 	return min(wait, silentPeriod) // Then the keeper is asked again.
 }
 
-func (q *quotas) isSilent(vm string) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return time.Now().Before(q.silentUntil[vm])
-}
-
 func (q *quotas) recordSilence(vm string, err error) {
 	_ = level.Warn(q.logger).Log("msg", "no answer about a limit", "vm", vm, "err", err)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.silentUntil == nil {
-		q.silentUntil = map[string]time.Time{}
-	}
-	q.silentUntil[vm] = time.Now().Add(silentPeriod)
+	q.silent.add(time.Now(), vm)
 }
 
 // prune forgets the upstreams that have left the list.
--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -155,7 +155,7 @@
 	name := fmt.Sprint("vm", i)
 	vm := &limitVM{}
 	vm.quotas = &quotas{
-		vm: name, view: d.view.Load, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}), ownShare: newOwnShare(),
+		vm: name, view: d.view.Load, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}), ownShare: newOwnShare(), silent: newSilence(),
 		dial: func(address string) (mpwire.PeerClient, error) {
 			n, err := strconv.Atoi(strings.TrimPrefix(address, "vm"))
 			return limitPeer{from: vm, to: d.peers[n].Load()}, err
@@ -385,7 +385,7 @@
 		cancel()
 		d.vms[0].isCut.Store(true)
 		other.quotas.Take(ctx, "u0", 1)
-		if other.quotas.isSilent(keeper) {
+		if other.quotas.silent.includes(time.Now(), keeper) {
 			t.Errorf("keeper %s is not asked any more", keeper)
 		}
 	})
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -114,9 +114,10 @@
 }
 
 // canRepeat reports whether the request may be sent again after an upstream may have run
-// it. A stream whose events have no IDs cannot be resumed once it has begun.
+// it. Once a stream has begun, it cannot be resumed if its events have no IDs, or if the
+// version that began it is unknown.
 func (e *exchange) canRepeat() bool {
-	return e.route.IsRepeatable() && (!e.headerWritten || e.lastEventID != "")
+	return e.route.IsRepeatable() && (!e.headerWritten || e.lastEventID != "" && e.origin.IsKnown())
 }
 
 func (e *exchange) timeLeft() time.Duration { return e.deadline.Sub(e.p.cfg.Clock()) }
@@ -432,6 +433,7 @@
 		e.p.forecast.recordFirstToken(e.pool.Spec().Name, e.r.Prompt, e.timeToFirstEvent)
 		e.copyHeader(resp)
 		e.w.Header().Del("Content-Length")
+		e.bindOrigin(ctx)
 		if e.framing == byClose || e.r.HTTP10 {
 			e.endWithConnection(ctx)
 		}
--- a/core/request/mpproxy/endless_test.go
+++ b/core/request/mpproxy/endless_test.go
@@ -102,7 +102,7 @@
 	t.Cleanup(transport.CloseIdleConnections)
 	r.p.cfg.Transport = transport
 	r.p.cfg.State = staticState{r.p.cfg.State.Table(), mplist.New(time.Now(), []mplist.Row{
-		{ID: "u1", Pool: "app", Address: first, DC: "a", Slots: 4}, {ID: "u2", Pool: "app", Address: second, DC: "b", Slots: 4},
+		{ID: "u1", Pool: "app", Address: first, DC: "a", Slots: 4, Version: "v1"}, {ID: "u2", Pool: "app", Address: second, DC: "b", Slots: 4, Version: "v1"},
 	})}
 	return r
 }
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -17,6 +17,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mproute"
@@ -69,6 +70,7 @@
 	Trials     Trials
 	Prober     Prober
 	Quotas     Quotas
+	Origins    Origins
 	Metrics    *mpmetric.Set
 	Logger     log.Logger
 	Clock      func() time.Time
@@ -109,8 +111,10 @@
 	// startDeadline is when the caller abandons a stream that has not started. For
 	// other requests it equals deadline.
 	startDeadline time.Time
-	pickInfo      mpselect.PickInfo
-	traits        mpquarantine.Traits
+	// origin is the software that began the stream, to which it is bound; unknown until then.
+	origin   mporigin.Origin
+	pickInfo mpselect.PickInfo
+	traits   mpquarantine.Traits
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	sends      int
@@ -169,7 +173,9 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	defer e.freeInputs()
-	e.run(ctx)
+	if e.choosePool(ctx) {
+		e.run(ctx)
+	}
 }
 
 // admit resolves the route, the account and the deadlines of the request. It
@@ -211,9 +217,26 @@
 		e.refuseConvicted(v)
 		return false
 	}
-	e.pool = e.table.Pool(e.route.PickPool(rand.Float64()))
+	return true
+}
+
+// choosePool chooses the pool of the request. A stream that the caller resumes goes on at the
+// pool and the version that began it; if these are not known, it is refused, since the caller
+// could not tell that its parts do not fit together.
+func (e *exchange) choosePool(ctx context.Context) bool {
+	name := e.route.PickPool(rand.Float64())
+	if e.route.Spec().Resumable && e.r.LastEventID != "" {
+		e.origin = e.findOrigin(ctx, name)
+		if !e.origin.IsKnown() || !e.route.HasPool(e.origin.Pool) {
+			e.p.cfg.Metrics.Add("origins.unknown", 1)
+			e.refuse(http.StatusServiceUnavailable, minRetryAfter, "origin of the stream unknown", "resumes "+e.r.Resumes)
+			return false
+		}
+		name = e.origin.Pool
+	}
+	e.pool = e.table.Pool(name)
 	e.pickInfo = e.p.pickInfo(e.r, e.pool)
-	e.p.cfg.Budget(e.pool.Spec().Name).Deposit()
+	e.p.cfg.Budget(name).Deposit()
 	return true
 }
 
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -20,6 +20,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
@@ -201,17 +202,17 @@
 		t.Fatal(err)
 	}
 	list := mplist.New(time.Now(), []mplist.Row{
-		{ID: "u1", Pool: "app", Address: "10.0.0.1:80", DC: "a", Slots: 4},
-		{ID: "u2", Pool: "app", Address: "10.0.0.2:80", DC: "b", Slots: 4},
-		{ID: "u3", Pool: "app", Address: "10.0.0.3:80", DC: "b", Leaving: true},
-		{ID: "u4", Pool: "app", Address: "10.0.0.4:80", DC: "out"},
+		{ID: "u1", Pool: "app", Address: "10.0.0.1:80", DC: "a", Slots: 4, Version: "v1"},
+		{ID: "u2", Pool: "app", Address: "10.0.0.2:80", DC: "b", Slots: 4, Version: "v1"},
+		{ID: "u3", Pool: "app", Address: "10.0.0.3:80", DC: "b", Leaving: true, Version: "v1"},
+		{ID: "u4", Pool: "app", Address: "10.0.0.4:80", DC: "out", Version: "v1"},
 	})
 	r := &harness{t: t, transport: &fakeTransport{replies: replies}, executor: &executor{}}
 	budget := mpbudget.New(mpbudget.Config{Ratio: 1, Burst: 10})
 	r.p = New(Config{
 		DC: "a", State: staticState{table, list}, Dialect: fakeDialect{}, StageExecutor: r.executor,
 		Selector: mpselect.New(mpselect.Config{VM: "v"}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Quotas: noQuotas{}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
+		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Quotas: noQuotas{}, Origins: &fakeOrigins{ledger: mporigin.New()}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	return r
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -39,10 +39,11 @@
 	return mplist.Row{}, 0, false
 }
 
-// untried returns the candidates to which the request was not sent.
+// untried returns the candidates to which the request was not sent, of those that may go on
+// with a stream that has begun.
 func (e *exchange) untried() []mpselect.Candidate {
 	return slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
-		return slices.Contains(e.pickInfo.Exclude, c.Row.ID)
+		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || e.origin.IsKnown() && c.Row.Version != e.origin.Version
 	})
 }
 
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -93,6 +94,19 @@
 	Take(ctx context.Context, upstream string, rate float64) time.Duration
 }
 
+// Origins keeps which software began the streams that callers may resume.
+type Origins interface {
+	// Note records the origin of a stream at VMs that outlive this one, for ttl. It returns when
+	// enough of them have it, or when that cannot be awaited.
+	Note(ctx context.Context, key mporigin.Key, o mporigin.Origin, ttl time.Duration)
+	// Find returns the origin of a stream, which is unknown if several streams have the same
+	// key. It returns false if no VM is found that has recorded it.
+	Find(ctx context.Context, key mporigin.Key) (mporigin.Origin, bool)
+	// Sole returns the version of a pool's software if the pool is known to have had no other
+	// one in the last span.
+	Sole(now time.Time, pool string, span time.Duration) (string, bool)
+}
+
 // StageExecutor runs the pieces of stages.
 type StageExecutor interface {
 	Make(ctx context.Context, pool string, spec mpbatch.JobSpec) ([]mpbatch.Result, error)
--- a/core/version/mproute/table.go
+++ b/core/version/mproute/table.go
@@ -192,6 +192,11 @@
 	return last
 }
 
+// HasPool reports whether requests of the route may go to the named pool.
+func (r *Route) HasPool(name string) bool {
+	return slices.ContainsFunc(r.spec.Shares, func(s Share) bool { return s.Pool == name && s.Weight > 0 })
+}
+
 // IsRepeatable reports whether requests of the route may run more than once.
 func (r *Route) IsRepeatable() bool {
 	return r.spec.Kind == Idempotent || r.spec.Kind == Stream && r.spec.Resumable
