mpproxy: Run the stages again to resume a stream

Callers saw streams cut off that could have gone on: once a stream with stages had begun, the next upstream got it without inputs and answered 400.

Cause: the results of the stages are freed at the first event, and each attempt after it was sent with an empty list.

Change: before a further attempt the stages run again, once, if the retry budget allows the attempt and an upstream of the stream's version is left; otherwise the response is cut off at once. The attempts that may have run are counted over both runs of the stages, which a lost result reset before. Keeping the results for as long as a stream lasts would take the memory of their makers from other requests.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -77,14 +77,14 @@
 // possible. It returns true if the stages must be run again.
 func (e *exchange) runAttempts(ctx context.Context) (rerunStages bool) {
 	spec := e.route.Spec()
-	possibleRuns, reason := 0, "no usable upstream"
+	reason := "no usable upstream"
 	for e.sends < maxNotRunSends+spec.MaxAttempts && e.timeLeft() >= minAttemptTime {
 		t, verdict, ok := e.awaitTrial(ctx)
 		if !ok {
 			e.respondQuarantined(ctx, verdict)
 			return false
 		}
-		result, why, sent := e.send(ctx, t, possibleRuns+1 >= spec.MaxAttempts)
+		result, why, sent := e.send(ctx, t, e.possibleRuns+1 >= spec.MaxAttempts)
 		if !sent {
 			reason += why
 			break
@@ -98,12 +98,19 @@
 		case refused:
 		case failed:
 			e.mayHaveRun = true
-			possibleRuns++
-			if !e.canRepeat() || possibleRuns >= spec.MaxAttempts || ctx.Err() != nil {
+			e.possibleRuns++
+			if !e.canRepeat() || e.possibleRuns >= spec.MaxAttempts || ctx.Err() != nil {
 				e.respondUnanswered(ctx, reason)
 				return false
 			}
 		}
+		if e.inputsFreed {
+			if why, ok := e.prepareResume(); !ok {
+				e.respondUnanswered(ctx, reason+why)
+				return false
+			}
+			return true
+		}
 		// Evidence of another VM's trial on the same upstream may be on its way.
 		if ctx.Err() != nil || t.isIsolated() && !mptime.Sleep(ctx, trialPause) {
 			break
@@ -113,6 +120,28 @@
 	return false
 }
 
+// prepareResume prepares the next attempt of a stream whose inputs were freed when it began, so
+// that its stages run again. It returns false, and what to add to the reason, if no attempt
+// could follow them.
+func (e *exchange) prepareResume() (string, bool) {
+	if len(e.untried()) == 0 {
+		return "; no usable upstream", false
+	}
+	if !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
+		return "; " + reasonBudget, false
+	}
+	e.isPaid = true
+	// Callers abandon a stream after as long a gap as before its first event.
+	if !e.lastWrite.IsZero() {
+		gap := e.startDeadline.Sub(e.start)
+		e.startDeadline = e.lastWrite.Add(gap)
+		if e.startDeadline.After(e.deadline) {
+			e.startDeadline = e.deadline
+		}
+	}
+	return "", true
+}
+
 // canRepeat reports whether the request may be sent again after an upstream may have run
 // it. Once a stream has begun, it cannot be resumed if its events have no IDs, or if the
 // version that began it is unknown.
@@ -133,11 +162,12 @@
 		}
 		return refused, "", false
 	}
-	if e.sends > 0 && !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
+	if e.sends > 0 && !e.isPaid && !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
 		t.end(false)
 		e.p.cfg.Selector.Done(e.p.cfg.Clock(), row.ID, e.pickInfo, mpselect.Neutral, 0)
-		return refused, "; retry budget exhausted", false
+		return refused, "; " + reasonBudget, false
 	}
+	e.isPaid = false
 	e.endTrial = t.end
 	isDone := false
 	defer func() {
@@ -438,6 +468,7 @@
 			e.endWithConnection(ctx)
 		}
 		e.w.WriteHeader(resp.StatusCode)
+		e.inputsFreed = len(e.inputs) > 0
 		e.freeInputs()
 	}
 	if len(out) == 0 {
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -45,6 +45,8 @@
 	startTimeoutGapFactor    = 8
 	// causeLimit is the cause of refusals where the rates of the upstreams allow no request.
 	causeLimit = mplog.MsgLimit
+	// reasonBudget is the reason of an attempt that the retry budget does not allow.
+	reasonBudget = "retry budget exhausted"
 	// statusAborted is logged if no status was sent or the response was cut off.
 	statusAborted = -1
 	// attemptOverheadTokens is the fixed part of an attempt's work, besides the last
@@ -117,7 +119,11 @@
 	traits   mpquarantine.Traits
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
-	sends      int
+	// possibleRuns is the number of attempts that may have run.
+	possibleRuns int
+	sends        int
+	// isPaid is set if the next attempt has been withdrawn from the retry budget.
+	isPaid bool
 	// limitWait is when the rate of an upstream allows the request, if no other is usable.
 	limitWait time.Duration
 	upstream  string
@@ -143,6 +149,9 @@
 	lastWrite  time.Time
 	longestGap time.Duration
 	inputs     []input
+	// inputsFreed is set if the results of the stages were freed when the stream began, so that
+	// they must be made again to resume it.
+	inputsFreed bool
 	// headerWritten is set once the response header was written to the caller.
 	headerWritten bool
 	// endsWithConnection is set if the caller's response has neither a length nor chunks.
@@ -275,11 +284,12 @@
 			e.refuseStages(ctx, err)
 			return
 		}
+		e.inputsFreed = false
 		if !e.runAttempts(ctx) {
 			return
 		}
 		if reruns == maxStageReruns {
-			e.respondUnanswered(ctx, "stage results no longer exist")
+			e.respondUnanswered(ctx, "stages were run again before")
 			return
 		}
 		e.freeInputs()
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -191,6 +191,8 @@
 			{Name: "post", Host: "h", Prefix: "/post/", Kind: mproute.NonIdempotent, Timeout: second, LatencyTarget: second, MaxAttempts: 1, Shares: share},
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: mproute.Idempotent, Timeout: second, MaxAttempts: 1, Shares: share, Public: true},
 			{Name: "tale", Host: "h", Prefix: "/tale/", Kind: mproute.Stream, Timeout: 9 * second, LatencyTarget: second, MaxAttempts: 2, Shares: share, Resumable: true},
+			{Name: "saga", Host: "h", Prefix: "/saga/", Kind: mproute.Stream, Timeout: 9 * second, LatencyTarget: second, MaxAttempts: 3, Shares: share, Resumable: true,
+				Stages: []mproute.StageSpec{{Pool: "work"}}},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: mproute.Stream, Timeout: 9 * second, LatencyTarget: second, MaxAttempts: 1, Shares: share,
 				Stages: []mproute.StageSpec{{Pool: "work"}, {Pool: "work", After: []int{0}}}},
 			{Name: "long", Host: "h", Prefix: "/long/", Kind: mproute.Stream, Timeout: 9 * second, LatencyTarget: 2 * second, MaxAttempts: 1, Shares: share,
