mpproxy: Cut off streams that have begun instead of refusing them

Callers found the text of an error in the middle of their stream, which then ended as if it were complete: 'id: 1 ... Service Unavailable'.

Cause: a request whose stages fail is refused, also if they ran again for a stream whose head and first events were out. A refusal writes a text and returns normally. Without a head it named 503 although an attempt may have run.

Change: such a request ends like any other that no upstream answered: with its connection if its head is out. refuse itself cuts off a response that has begun, so that no other path can write an error into a stream.

--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -296,11 +296,12 @@
 	}
 }
 
-// refuseStages refuses a request whose stages failed. The request itself has not
-// run.
+// refuseStages ends a request whose stages failed. If they ran for the first time, the request
+// itself has not run.
 func (e *exchange) refuseStages(ctx context.Context, err error) {
-	if callerDisconnected(ctx) {
-		e.abort("caller disconnected")
+	if e.headerWritten || e.mayHaveRun || callerDisconnected(ctx) {
+		e.respondUnanswered(ctx, err.Error())
+		return
 	}
 	retryAfter := minRetryAfter
 	var late *mpbatch.LateError
@@ -352,6 +353,9 @@
 // strings. The detail is only logged, since it may contain upstream addresses that
 // callers must not see.
 func (e *exchange) refuse(status int, retryAfter time.Duration, cause, detail string) {
+	if e.headerWritten {
+		e.abort(cause + ": " + detail) // The caller would take the text for a part of the stream.
+	}
 	e.status, e.cause, e.reason = status, cause, cause
 	if detail != "" {
 		e.reason += ": " + detail
--- a/core/request/mpproxy/resume_test.go
+++ b/core/request/mpproxy/resume_test.go
@@ -1,11 +1,71 @@
 package mpproxy
 
 import (
+	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mporigin"
+	"mustardpost.org/core/request/mpquarantine"
 )
 
+// Guards against a stream that has begun and gets something else than the rest of its events:
+// the text or the head of an error, or an end that looks complete.
+func TestBrokenStreamIsCutOff(t *testing.T) {
+	begun := reply{status: 200, body: "id: 1\ndata: a\n\n", truncate: true}
+	status := func(n int, h http.Header) reply { return reply{status: n, header: h, body: "error\n\n"} }
+	for name, c := range map[string]struct {
+		replies []reply
+		// prepare is called before the request, and arrange once the stream has begun.
+		prepare, arrange func(r *harness)
+		sent             int
+	}{
+		"400":                        {[]reply{begun, status(400, nil), status(400, nil)}, nil, nil, 3},
+		"500":                        {[]reply{begun, status(500, nil), status(500, nil)}, nil, nil, 3},
+		"503, not run":               {[]reply{begun, notRun, notRun}, nil, nil, 4},
+		"409, inputs lost":           {[]reply{begun, status(409, nil), status(409, nil)}, nil, nil, 2},
+		"redirection":                {[]reply{begun, status(302, nil), status(302, nil)}, nil, nil, 3},
+		"204":                        {[]reply{begun, status(204, nil), status(204, nil)}, nil, nil, 3},
+		"200 with text":              {[]reply{begun, status(200, nil), status(200, nil)}, nil, nil, 3},
+		"answer to another request":  {[]reply{begun, {status: 200, header: http.Header{"For": {"r2"}}, body: "id: 2\n\n"}, begun}, nil, nil, 3},
+		"reset":                      {[]reply{begun, {reset: true}, {reset: true}}, nil, nil, 3},
+		"connection refused":         {[]reply{begun, {refuse: true}, {refuse: true}}, nil, nil, 4},
+		"no upstream left":           {[]reply{begun}, nil, func(r *harness) { r.setVersions("v2") }, 1},
+		"retry budget exhausted":     {[]reply{begun}, func(r *harness) { r.setBudget(0) }, nil, 1},
+		"stages cannot be run again": {[]reply{begun}, nil, func(r *harness) { r.executor.fail(mperror.ErrFull) }, 1},
+		"stages late":                {[]reply{begun}, nil, func(r *harness) { r.executor.fail(mperror.ErrDeadline) }, 1},
+		"results lost once more":     {[]reply{begun}, nil, func(r *harness) { r.executor.fail(mperror.ErrNotFound); r.executor.fail(mperror.ErrNotFound) }, 1},
+		"convicted of crashing meanwhile": {[]reply{begun}, nil, func(r *harness) {
+			f := traitsOf(request("/saga/")).Content
+			r.p.cfg.Quarantine.Learn(time.Now(), f, mpquarantine.Convicted)
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				last := c.replies[len(c.replies)-1]
+				r := newHarness(t, append(c.replies, last, last, last)...)
+				r.setVersions("v1", "v1", "v1", "v1")
+				if c.prepare != nil {
+					c.prepare(r)
+				}
+				r.p.cfg.Origins = &fakeOrigins{ledger: mporigin.New(), noted: func() {
+					if c.arrange != nil {
+						c.arrange(r)
+					}
+				}}
+				q := request("/saga/")
+				q.Pieces = []int{1}
+				checkAnswer(t, answer{Status: 200, Body: begun.body, Aborted: true, Sent: c.sent}, r.serve(t.Context(), q))
+			})
+		})
+	}
+}
+
 // Guards against a stream that is resumed without the results of its stages, which are freed at
 // its first event: upstreams answer 400, and the stream ends although it could go on.
 func TestResumedStreamHasItsInputs(t *testing.T) {
@@ -36,3 +96,15 @@
 		t.Errorf("sent %d times, want at most 3, and cut off: %v", got.Sent, got.Aborted)
 	}
 }
+
+func (r *harness) setBudget(tokens float64) {
+	budget := mpbudget.New(mpbudget.Config{Burst: tokens})
+	r.p.cfg.Budget = func(string) *mpbudget.Budget { return budget }
+}
+
+// fail lets the next run of a stage end with err.
+func (e *executor) fail(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.errs = append(e.errs, err)
+}
