mpproxy: Do not refuse streams that have begun for being late

A request that misses its latency target and has to wait is refused, so that others meet theirs. The rest of a stream misses it in any case, although the stream's first event met it.

Change: the soft deadline of such a request, and of a stream that is resumed within its response, is when its caller abandons it. It queues like a new one, by priority and arrival, and is refused if it cannot be answered in time.

TestBegunStreamIsNotLate failed for both ways to resume and passes now. A new stream is refused as before.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -133,12 +133,12 @@
 	e.isPaid = true
 	// Callers abandon a stream after as long a gap as before its first event.
 	if !e.lastWrite.IsZero() {
-		gap := e.startDeadline.Sub(e.start)
-		e.startDeadline = e.lastWrite.Add(gap)
+		e.startDeadline = e.lastWrite.Add(e.startTimeout())
 		if e.startDeadline.After(e.deadline) {
 			e.startDeadline = e.deadline
 		}
 	}
+	e.softDeadline = e.startDeadline
 	return "", true
 }
 
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -107,7 +107,8 @@
 	priority int
 	start    time.Time
 	// softDeadline is the start of the request plus the route's latency target. A
-	// response, or a stream's first event, is late after it.
+	// response, or a stream's first event, is late after it. The rest of a stream that has
+	// begun is late only once its caller abandons it.
 	softDeadline time.Time
 	deadline     time.Time
 	// startDeadline is when the caller abandons a stream that has not started. For
@@ -218,8 +219,7 @@
 	e.softDeadline = e.start.Add(spec.LatencyTarget)
 	e.startDeadline = e.deadline
 	if spec.Kind == mproute.Stream {
-		startTimeout := max(minStartTimeout, startTimeoutTargetFactor*spec.LatencyTarget, startTimeoutGapFactor*spec.GapTarget)
-		e.startDeadline = e.start.Add(min(startTimeout, timeout))
+		e.startDeadline = e.start.Add(min(e.startTimeout(), timeout))
 	}
 	e.traits = traitsOf(e.r)
 	if v := e.p.cfg.Quarantine.Judge(e.start, e.traits); v.Level == mpquarantine.Convicted {
@@ -229,6 +229,12 @@
 	return true
 }
 
+// startTimeout returns how long the callers of a stream wait for its first event.
+func (e *exchange) startTimeout() time.Duration {
+	spec := e.route.Spec()
+	return max(minStartTimeout, startTimeoutTargetFactor*spec.LatencyTarget, startTimeoutGapFactor*spec.GapTarget)
+}
+
 // choosePool chooses the pool of the request. A stream that the caller resumes goes on at the
 // pool and the version that began it; if these are not known, it is refused, since the caller
 // could not tell that its parts do not fit together.
@@ -242,6 +248,7 @@
 			return false
 		}
 		name = e.origin.Pool
+		e.softDeadline = e.startDeadline
 	}
 	e.pool = e.table.Pool(name)
 	e.pickInfo = e.p.pickInfo(e.r, e.pool)
--- a/core/request/mpproxy/resume_test.go
+++ b/core/request/mpproxy/resume_test.go
@@ -108,3 +108,35 @@
 	defer e.mu.Unlock()
 	e.errs = append(e.errs, err)
 }
+
+// Guards against streams that have begun and are refused in an overload for being late, while new
+// ones are served: they miss the latency target in any case, which their first event has met.
+func TestBegunStreamIsNotLate(t *testing.T) {
+	const wait = 1500 * time.Millisecond
+	first, rest := reply{status: 200, body: "id: 1\ndata: a\n\n", truncate: true}, reply{status: 200, body: "id: 2\ndata: b\n\n"}
+	overloaded := func(r *harness) { r.executor.waits = map[string]time.Duration{"work": wait} }
+	ask := func(t *testing.T, r *harness, resumes string) answer {
+		q := request("/saga/")
+		q.Pieces, q.Resumes = []int{1}, resumes
+		if resumes != "" {
+			q.LastEventID = "1"
+		}
+		return r.serve(t.Context(), q)
+	}
+	t.Run("a new stream", func(t *testing.T) {
+		r := newHarness(t)
+		overloaded(r)
+		checkAnswer(t, answer{Status: 503}, ask(t, r, ""))
+	})
+	t.Run("resumed by its caller", func(t *testing.T) {
+		r := newHarness(t, rest)
+		overloaded(r)
+		r.p.cfg.Origins = &fakeOrigins{ledger: mporigin.New(), sole: "v1"}
+		checkAnswer(t, answer{Status: 200, Body: rest.body, Sent: 1}, ask(t, r, "r0"))
+	})
+	t.Run("resumed within its response", func(t *testing.T) {
+		r := newHarness(t, first, rest)
+		r.p.cfg.Origins = &fakeOrigins{ledger: mporigin.New(), noted: func() { overloaded(r) }}
+		checkAnswer(t, answer{Status: 200, Body: events, Sent: 2}, ask(t, r, ""))
+	})
+}
