mpselect, mpproxy: Take an upstream for gone after another process answered for it

Cause: a 421 says that this instance has ended. It was avoided for 100 ms only, so that each further request could go there again, and each repeat took from the retry budget.

Change: a 421 is an outcome of its own, after which the upstream is not used for 5 s, also if no other one is left: the list has ended upstreams for some seconds, and one may start again under its ID. The adapter says which status it is.

TestOtherProcessAtAddress failed before: the upstream was picked again after 100 ms.

--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -68,6 +68,7 @@
 func (limitDialect) NotRun(int, http.Header) bool                      { return false }
 func (limitDialect) MatchesRequest(*mpproxy.Request, http.Header) bool { return true }
 func (limitDialect) LacksInputs(int, http.Header) bool                 { return false }
+func (limitDialect) IsOtherProcess(int) bool                           { return false }
 func (limitDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
 	return mpquota.ParseStatement(h.Values("Limit"))
 }
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -267,6 +267,8 @@
 	switch {
 	case d.LacksInputs(resp.StatusCode, resp.Header):
 		return inputsMissing, mpselect.Neutral, "stage results no longer exist"
+	case d.IsOtherProcess(resp.StatusCode):
+		return refused, mpselect.Gone, "not run: " + resp.Status
 	case d.NotRun(resp.StatusCode, resp.Header):
 		return refused, mpselect.Refused, "not run: " + resp.Status
 	case e.route.Spec().Kind == mproute.Stream && resp.StatusCode == http.StatusOK && e.framing != noBody:
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -110,6 +110,8 @@
 }
 func (fakeDialect) LacksInputs(status int, _ http.Header) bool { return status == http.StatusConflict }
 
+func (fakeDialect) IsOtherProcess(status int) bool { return status == http.StatusMisdirectedRequest }
+
 func (fakeDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
 	return mpquota.ParseStatement(h.Values("Limit"))
 }
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -78,6 +78,9 @@
 	// LacksInputs reports whether the response states that stage results no longer
 	// exist.
 	LacksInputs(status int, h http.Header) bool
+	// IsOtherProcess reports whether the response says that another process than the upstream
+	// of the attempt listens at its address.
+	IsOtherProcess(status int) bool
 	// RateLimit returns what the response says of the rate that the upstream takes.
 	RateLimit(status int, h http.Header) mpquota.Statement
 }
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -33,6 +33,9 @@
 	initialLatency = 20 * time.Millisecond
 	coldInterval   = time.Second
 	stateRetention = time.Minute
+	// goneDuration is how long an upstream is not used after another process answered at its
+	// address. The list has it for some seconds more; it may start again under its ID.
+	goneDuration = 5 * time.Second
 )
 
 // PickInfo describes an attempt for which an upstream is selected.
@@ -58,6 +61,8 @@
 	Failed
 	// Refused means that the upstream reported that it did not run the request.
 	Refused
+	// Gone means that another process answered at the upstream's address.
+	Gone
 	// Neutral means that the attempt says nothing about the upstream's health, for
 	// example because this VM cancelled it.
 	Neutral
@@ -72,6 +77,8 @@
 	lastUsed            time.Time
 	// lastColdPick is when the upstream was last picked during its cold start.
 	lastColdPick time.Time
+	// goneUntil is until when the upstream counts as ended.
+	goneUntil time.Time
 	// deferredUntil is when the upstream's rate allows the next request.
 	deferredUntil time.Time
 }
@@ -168,7 +175,8 @@
 
 func (s *Selector) choose(now time.Time, candidates []Candidate, info PickInfo) (Candidate, bool) {
 	usable := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
-		return slices.Contains(info.Exclude, c.Row.ID) || now.Before(s.state(c.Row.ID).deferredUntil) || !s.admitsCold(now, c)
+		st := s.state(c.Row.ID)
+		return slices.Contains(info.Exclude, c.Row.ID) || now.Before(st.deferredUntil) || now.Before(st.goneUntil) || !s.admitsCold(now, c)
 	})
 	if len(usable) == 0 {
 		return Candidate{}, false
@@ -282,6 +290,12 @@
 		return Avoided
 	case Refused:
 		st.avoidUntil = now.Add(initialBackoff / 4)
+	case Gone:
+		wasGone := now.Before(st.goneUntil)
+		st.goneUntil = now.Add(goneDuration)
+		if !wasGone {
+			return Avoided
+		}
 	case Neutral:
 	}
 	return Unchanged
--- a/core/request/mpselect/mpselect_test.go
+++ b/core/request/mpselect/mpselect_test.go
@@ -162,3 +162,22 @@
 	checkPick(t, "a", s.PeekDC(now, cold, PickInfo{Work: 1}))
 	checkPick(t, "e0", pick(t, s, now.Add(300*time.Millisecond), cold, PickInfo{Work: 1}))
 }
+
+// Guards against requests that are sent again and again to the address of an upstream that has
+// ended, where another process listens now: each such send is refused and takes from the retry
+// budget.
+func TestOtherProcessAtAddress(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := New(Config{VM: "a"})
+	list := engines(2)
+	first := pick(t, s, now, list, PickInfo{DC: "a"})
+	checkPick(t, "e0", first)
+	if got := s.Done(now, first, PickInfo{}, Gone, 0); got != Avoided {
+		t.Errorf("health change %v, want %v", got, Avoided)
+	}
+	for _, after := range []time.Duration{0, time.Second, goneDuration - 1} {
+		checkPick(t, "e1", pick(t, s, now.Add(after), list, PickInfo{DC: "a"}))
+		checkPick(t, "", pick(t, s, now.Add(after), list[:1], PickInfo{DC: "a"}))
+	}
+	checkPick(t, "e0", pick(t, s, now.Add(goneDuration), list[:1], PickInfo{DC: "a"}))
+}
