mpproxy, mpbudget: Charge the retry budget for repeats that arrive only

Cause: each send after a request's first withdrew from the budget, also if it or the one before it had found no connection. The budget bounds what reaches upstreams beyond the first arrival of each request, over all VMs; a share of it went to connects that reached nothing.

Change: a token is taken for a send after the request has arrived once, pays for the next send if this one finds no connection, and is returned if none follows. The number of sends of a request stays bounded.

TestFailedConnectsLeaveTheRetryBudget failed before in three of five rows: with an empty budget a request ended after its first refused connect.

--- a/core/request/mpbudget/mpbudget.go
+++ b/core/request/mpbudget/mpbudget.go
@@ -45,3 +45,10 @@
 	b.tokens--
 	return true
 }
+
+// Refund returns one token that was withdrawn for a retry that was not sent.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+1, b.cfg.Burst)
+}
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -162,12 +162,14 @@
 		}
 		return refused, "", false
 	}
-	if e.sends > 0 && !e.isPaid && !e.p.cfg.Budget(e.pool.Spec().Name).TryWithdraw() {
-		t.end(false)
-		e.p.cfg.Selector.Done(e.p.cfg.Clock(), row.ID, e.pickInfo, mpselect.Neutral, 0)
-		return refused, "; " + reasonBudget, false
+	budget := e.p.cfg.Budget(e.pool.Spec().Name)
+	if e.arrivals > 0 && !e.isPaid {
+		if e.isPaid = budget.TryWithdraw(); !e.isPaid {
+			t.end(false)
+			e.p.cfg.Selector.Done(e.p.cfg.Clock(), row.ID, e.pickInfo, mpselect.Neutral, 0)
+			return refused, "; " + reasonBudget, false
+		}
 	}
-	e.isPaid = false
 	e.endTrial = t.end
 	isDone := false
 	defer func() {
@@ -175,12 +177,25 @@
 			t.end(true) // After a panic. Otherwise attempt ends it, or recordLoss does later.
 		}
 	}()
+	before := e.arrivals
 	result, why := e.attempt(ctx, row, t, e.timeLeft(), last)
 	isDone = true
+	if e.arrivals > before {
+		e.isPaid = false // Otherwise what was withdrawn pays for the next attempt.
+	}
 	e.pickInfo.Exclude = append(e.pickInfo.Exclude, row.ID)
 	return result, why, true
 }
 
+// settleBudget returns what was withdrawn from the retry budget for an attempt that did not
+// reach an upstream.
+func (e *exchange) settleBudget() {
+	if e.isPaid {
+		e.p.cfg.Budget(e.pool.Spec().Name).Refund()
+		e.isPaid = false
+	}
+}
+
 // attempt sends the request to one upstream and forwards the response.
 func (e *exchange) attempt(ctx context.Context, row mplist.Row, t trial, timeout time.Duration, last bool) (attemptResult, string) {
 	e.sends++
@@ -249,6 +264,9 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	req := e.newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), row, timeout)
 	resp, err := e.p.cfg.Transport.RoundTrip(req)
+	if connected {
+		e.arrivals++
+	}
 	e.timeToHeader = e.p.cfg.Clock().Sub(e.sentAt)
 	if err != nil {
 		outcome := outcomeOfLoss(ctx, idleTimer)
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -123,7 +123,9 @@
 	// possibleRuns is the number of attempts that may have run.
 	possibleRuns int
 	sends        int
-	// isPaid is set if the next attempt has been withdrawn from the retry budget.
+	// arrivals is the number of sends over an established connection.
+	arrivals int
+	// isPaid is set if the next arrival has been withdrawn from the retry budget.
 	isPaid bool
 	// limitWait is when the rate of an upstream allows the request, if no other is usable.
 	limitWait time.Duration
@@ -183,6 +185,7 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	defer e.freeInputs()
+	defer e.settleBudget()
 	if e.choosePool(ctx) {
 		e.run(ctx)
 	}
