--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -66,7 +66,7 @@
 
 func (limitDialect) Header(a mpproxy.Attempt) http.Header              { return a.Request.Header.Clone() }
 func (limitDialect) NotRun(int, http.Header) bool                      { return false }
-func (limitDialect) MatchesRequest(*mpproxy.Request, http.Header) bool { return true }
+func (limitDialect) MatchesRequest(*mpproxy.Request, http.Header, bool) bool { return true }
 func (limitDialect) LacksInputs(int, http.Header) bool                 { return false }
 func (limitDialect) IsOtherProcess(int) bool                           { return false }
 func (limitDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -260,8 +260,8 @@
 func (e *exchange) roundTrip(
 	ctx context.Context, row mplist.Row, timeout time.Duration, idleTimer *time.Timer, last bool,
 ) (attemptResult, mpselect.Outcome, string) {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	connected, reused := false, false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
 	req := e.newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), row, timeout)
 	resp, err := e.p.cfg.Transport.RoundTrip(req)
 	if connected {
@@ -278,7 +278,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	e.framing = framingOf(e.r.Method, resp)
 	d := e.p.cfg.Dialect
-	if !d.MatchesRequest(e.r, resp.Header) {
+	if !d.MatchesRequest(e.r, resp.Header, reused) {
 		return failed, mpselect.Failed, "response belongs to another request"
 	}
 	e.p.cfg.Quotas.Observe(e.sentAt, row.ID, d.RateLimit(resp.StatusCode, resp.Header))
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -39,6 +39,8 @@
 	// refuse fails before a connection is established; hang never responds.
 	refuse bool
 	hang   bool
+	// reused is set if the connection has carried other requests.
+	reused bool
 	delay  time.Duration
 }
 
@@ -69,7 +71,7 @@
 		return nil, errors.New("connection refused")
 	}
 	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil {
-		trace.GotConn(httptrace.GotConnInfo{})
+		trace.GotConn(httptrace.GotConnInfo{Reused: next.reused})
 	}
 	select {
 	case <-r.Context().Done():
@@ -105,8 +107,8 @@
 	return h
 }
 func (fakeDialect) NotRun(_ int, h http.Header) bool { return h.Get("Unrun") != "" }
-func (fakeDialect) MatchesRequest(r *Request, h http.Header) bool {
-	return h.Get("For") == "" || h.Get("For") == r.ID
+func (fakeDialect) MatchesRequest(r *Request, h http.Header, reused bool) bool {
+	return h.Get("For") == "" && !reused || h.Get("For") == r.ID
 }
 func (fakeDialect) LacksInputs(status int, _ http.Header) bool { return status == http.StatusConflict }
 
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -73,8 +73,9 @@
 	Header(a Attempt) http.Header
 	// NotRun reports whether the response states that the request has not run.
 	NotRun(status int, h http.Header) bool
-	// MatchesRequest reports whether the response with header h belongs to r.
-	MatchesRequest(r *Request, h http.Header) bool
+	// MatchesRequest reports whether the response with header h belongs to r. If the connection
+	// is reused, upstreams may have written a response to an earlier request once more.
+	MatchesRequest(r *Request, h http.Header, reused bool) bool
 	// LacksInputs reports whether the response states that stage results no longer
 	// exist.
 	LacksInputs(status int, h http.Header) bool
