mpnotice, mpproxy, mpstage: Send nothing to upstreams that say they leave

New on the platform's pages: an upstream that leaves says so in all its answers, and requests that reach it later than the platform allows are its callers' loss. Nothing here read that; only the list did, which lags.

Change: the adapter decodes the field, a board keeps it for the VM that was told, and attempts, repeats, trials and calls for pieces go elsewhere at once. Answers that arrive late do not withdraw it.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -29,6 +29,7 @@
 	"mustardpost.org/core/process/mpusage"
 	"mustardpost.org/core/process/mpvoter"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
@@ -117,6 +118,7 @@
 	trials       *trials
 	quotas       *quotas
 	origins      *origins
+	notices      *mpnotice.Board
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -144,6 +146,7 @@
 		budgets:      map[string]*mpbudget.Budget{},
 		view:         mpview.Empty(),
 		quarantine:   mpquarantine.New(),
+		notices:      mpnotice.New(),
 	}
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics})
 	g.quotas = &quotas{
@@ -167,7 +170,7 @@
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: cfg.Seeds})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
-		Client: cfg.BatchClient, Quotas: g.quotas, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
+		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
 		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
@@ -188,6 +191,7 @@
 		Evidence:      g.evidence,
 		Trials:        g.trials,
 		Quotas:        g.quotas,
+		Notices:       g.notices,
 		Origins:       g.origins,
 		Prober:        cfg.Relay,
 		Metrics:       g.metrics,
@@ -313,6 +317,7 @@
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
 		g.selector.Prune(now, g.List())
 		g.quotas.prune(now, g.List().Has)
+		g.notices.Prune(g.List().Has)
 	})
 	select {
 	case err := <-failed:
--- a/core/process/mpgateway/origins_test.go
+++ b/core/process/mpgateway/origins_test.go
@@ -22,6 +22,7 @@
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
@@ -195,7 +196,7 @@
 	budget := mpbudget.New(mpbudget.Config{Ratio: 1, Burst: 100})
 	vm.proxy = mpproxy.New(mpproxy.Config{
 		DC: "a", State: d, Dialect: resumeDialect{}, Selector: mpselect.New(mpselect.Config{VM: vm.name}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: d, Quarantine: mpquarantine.New(), Evidence: &evidence{}, Prober: noProber{}, Quotas: &quotas{limits: mpquota.NewLimits()}, Origins: vm.origins,
+		Transport: d, Quarantine: mpquarantine.New(), Notices: mpnotice.New(), Evidence: &evidence{}, Prober: noProber{}, Quotas: &quotas{limits: mpquota.NewLimits()}, Origins: vm.origins,
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	d.mu.Lock()
--- a/core/process/mpgateway/partition_test.go
+++ b/core/process/mpgateway/partition_test.go
@@ -21,6 +21,7 @@
 	"mustardpost.org/core/connection/mprelay"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
@@ -249,7 +250,7 @@
 	budget := mpbudget.New(mpbudget.Config{Ratio: 0.14, Burst: 4})
 	vm.proxy = mpproxy.New(mpproxy.Config{
 		DC: "a", State: d, Dialect: limitDialect{}, Selector: mpselect.New(mpselect.Config{VM: name}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: transport, Quarantine: mpquarantine.New(), Evidence: d, Prober: vm.relay, Quotas: &quotas{limits: mpquota.NewLimits()},
+		Transport: transport, Quarantine: mpquarantine.New(), Notices: mpnotice.New(), Evidence: d, Prober: vm.relay, Quotas: &quotas{limits: mpquota.NewLimits()},
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	d.vms[i] = vm
--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -22,6 +22,7 @@
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpproxy"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
@@ -64,11 +65,12 @@
 // limitDialect is a Dialect whose upstreams name a limit in the field Limit.
 type limitDialect struct{}
 
-func (limitDialect) Header(a mpproxy.Attempt) http.Header              { return a.Request.Header.Clone() }
-func (limitDialect) NotRun(int, http.Header) bool                      { return false }
+func (limitDialect) Header(a mpproxy.Attempt) http.Header                    { return a.Request.Header.Clone() }
+func (limitDialect) NotRun(int, http.Header) bool                            { return false }
 func (limitDialect) MatchesRequest(*mpproxy.Request, http.Header, bool) bool { return true }
-func (limitDialect) LacksInputs(int, http.Header) bool                 { return false }
-func (limitDialect) IsOtherProcess(int) bool                           { return false }
+func (limitDialect) LacksInputs(int, http.Header) bool                       { return false }
+func (limitDialect) Notice(int, http.Header) mpnotice.Notice                 { return mpnotice.Notice{} }
+func (limitDialect) IsOtherProcess(int) bool                                 { return false }
 func (limitDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
 	return mpquota.ParseStatement(h.Values("Limit"))
 }
@@ -166,7 +168,7 @@
 	budget := mpbudget.New(mpbudget.Config{Ratio: 1, Burst: 100})
 	vm.proxy = mpproxy.New(mpproxy.Config{
 		DC: "a", State: d, Dialect: limitDialect{}, Selector: mpselect.New(mpselect.Config{VM: name}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: d, Quarantine: mpquarantine.New(), Quotas: vm.quotas, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
+		Transport: d, Quarantine: mpquarantine.New(), Notices: mpnotice.New(), Quotas: vm.quotas, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	d.vms[i] = vm
 	d.peers[i].Store(vm)
--- a/core/process/mpstage/burst_test.go
+++ b/core/process/mpstage/burst_test.go
@@ -18,6 +18,7 @@
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpview"
@@ -145,7 +146,7 @@
 func startBurstVM(t *testing.T, vm mpview.VM, view *mpview.View, table *mproute.Table, usable *mplist.Usable) burstVM {
 	t.Helper()
 	metrics, logger, client := mpmetric.New(), mplog.New(io.Discard, "info"), &sentCounter{}
-	owner := NewOwner(t.Context(), OwnerConfig{Client: client, Quotas: noQuotas{}, Metrics: metrics, Logger: logger, Clock: time.Now})
+	owner := NewOwner(t.Context(), OwnerConfig{Client: client, Quotas: noQuotas{}, Notices: mpnotice.New(), Metrics: metrics, Logger: logger, Clock: time.Now})
 	owner.Update(table, usable)
 	server, err := mppeer.Serve(mppeer.ServerConfig{Address: vm.Peer, Secret: "s", Peer: burstPeer{owner: owner}, Metrics: metrics})
 	if err != nil {
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -21,6 +21,7 @@
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -57,8 +58,10 @@
 
 // OwnerConfig configures an Owner.
 type OwnerConfig struct {
-	Client  BatchClient
-	Quotas  Quotas
+	Client BatchClient
+	Quotas Quotas
+	// Notices holds what upstreams said of themselves to this VM.
+	Notices *mpnotice.Board
 	Metrics *mpmetric.Set
 	Logger  log.Logger
 	Clock   func() time.Time
@@ -257,6 +260,10 @@
 }
 
 func (q *shardQueue) call(c mpbatch.Call) {
+	if wait := q.owner.cfg.Notices.Wait(q.owner.cfg.Clock(), c.Upstream.ID); wait > 0 {
+		q.finish(c, mpbatch.Outcome{Status: mpbatch.Deferred, Wait: wait})
+		return
+	}
 	if wait := q.takeLimit(c.Upstream.ID); wait > 0 {
 		q.owner.cfg.Metrics.Add("quota.denied", 1)
 		q.finish(c, mpbatch.Outcome{Status: mpbatch.Deferred, Wait: wait})
@@ -273,6 +280,7 @@
 	_ = level.Info(q.owner.cfg.Logger).Log("msg", "batch", "pool", q.shard.pool, "shard", q.shard, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
 		"expected", c.Expected, "took", now.Sub(start), "ending", out.Status, "missing", failureReasons(out.Items), "err", out.Err)
 	q.owner.cfg.Quotas.Observe(start, c.Upstream.ID, out.RateLimit)
+	q.owner.cfg.Notices.Observe(now, start, c.Upstream.ID, out.Notice)
 	q.finish(c, out)
 }
 
@@ -305,7 +313,8 @@
 }
 
 // flushFrees tells upstreams to free the results that are no longer needed. Those of upstreams
-// with a limit end by themselves, since a call for each takes one of a piece.
+// with a limit end by themselves, since a call for each takes one of a piece, and so do those of
+// upstreams that accept nothing from this VM.
 func (q *shardQueue) flushFrees() {
 	q.freeScheduled.Store(false)
 	q.mu.Lock()
@@ -317,7 +326,7 @@
 		byAddress[address] = append(byAddress[address], h)
 	}
 	for address, list := range byAddress {
-		if q.isLimited(address) {
+		if q.withholdsFrees(address) {
 			q.owner.cfg.Metrics.Add("quota.frees_withheld", int64(len(list)))
 			continue
 		}
@@ -325,14 +334,14 @@
 	}
 }
 
-// isLimited reports whether the upstream at address names a limit.
-func (q *shardQueue) isLimited(address string) bool {
+// withholdsFrees reports whether the upstream at address is not told which results to free.
+func (q *shardQueue) withholdsFrees(address string) bool {
 	q.owner.mu.Lock()
 	rows := q.owner.usable.Rows(q.shard.pool)
 	q.owner.mu.Unlock()
 	return slices.ContainsFunc(rows, func(r mplist.Row) bool {
 		_, ok := q.owner.cfg.Quotas.Rate(r.ID)
-		return ok && r.Address == address
+		return r.Address == address && (ok || q.owner.cfg.Notices.Wait(q.owner.cfg.Clock(), r.ID) > 0)
 	})
 }
 
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -14,6 +14,7 @@
 
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -90,7 +91,7 @@
 		{ID: "u1", Pool: "first", Address: "127.0.0.1:1", DC: "a"},
 		{ID: "u2", Pool: "second", Address: "127.0.0.1:2", DC: "a"},
 	})
-	o := NewOwner(ctx, OwnerConfig{Client: m, Quotas: noQuotas{}, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now})
+	o := NewOwner(ctx, OwnerConfig{Client: m, Quotas: noQuotas{}, Notices: mpnotice.New(), Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now})
 	o.Update(table, list.Usable(func(string) bool { return false }))
 	return o
 }
@@ -233,3 +234,23 @@
 		}
 	})
 }
+
+// Guards against calls for pieces to an upstream that has said that it leaves.
+func TestLeavingUpstreamGetsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := &fakeClient{freed: map[string]bool{}}
+		o := newTwoStageOwner(ctx, t, m)
+		o.cfg.Notices.Observe(time.Now(), time.Now(), "u0", mpnotice.Notice{IsLeaving: true})
+		results, err := o.Make(ctx, whole("first"), newSpec(time.Now(), 0, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range results {
+			if got := m.AddressOf(r.Handle); got != "127.0.0.1:1" && got != "u1" {
+				t.Errorf("a piece was made at %s", got)
+			}
+		}
+	})
+}
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
 )
 
@@ -113,6 +114,8 @@
 	Wait time.Duration
 	// RateLimit is what the answer says of the rate that the upstream takes.
 	RateLimit mpquota.Statement
+	// Notice is what the answer says of the upstream.
+	Notice mpnotice.Notice
 	// Err is the cause of a Failed call, for the log.
 	Err error
 }
--- /dev/null
+++ b/core/request/mpnotice/mpnotice.go
@@ -0,0 +1,79 @@
+// Package mpnotice holds what upstreams say of themselves in their answers, as far as it binds
+// only the VM that gets the answer.
+package mpnotice
+
+import (
+	"sync"
+	"time"
+)
+
+// leavingDuration is how long an upstream that leaves is not used. The platform's list has it as
+// leaving by then, or not at all.
+const leavingDuration = time.Minute
+
+// Notice is what one answer says.
+type Notice struct {
+	// IsLeaving is set if the upstream is about to stop.
+	IsLeaving bool
+}
+
+type state struct {
+	// leavingUntil is until when the upstream counts as leaving, leavingToldAt when it said so.
+	leavingUntil, leavingToldAt time.Time
+}
+
+// Board holds the notices of upstreams. It is safe for concurrent use.
+type Board struct {
+	mu     sync.Mutex
+	states map[string]*state
+}
+
+// New returns an empty Board.
+func New() *Board { return &Board{states: map[string]*state{}} }
+
+// Observe records what the answer to a request that was sent at sentAt says. An answer to a
+// request that was sent before the upstream last gave notice does not withdraw that. It returns
+// true if the upstream accepts no requests from now on and did before.
+func (b *Board) Observe(now, sentAt time.Time, upstream string, n Notice) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.states[upstream]
+	if !ok {
+		if n == (Notice{}) {
+			return false
+		}
+		s = &state{}
+		b.states[upstream] = s
+	}
+	before := s.wait(now)
+	switch {
+	case n.IsLeaving:
+		s.leavingUntil, s.leavingToldAt = now.Add(leavingDuration), now
+	case sentAt.After(s.leavingToldAt):
+		s.leavingUntil = time.Time{}
+	}
+	return before == 0 && s.wait(now) > 0
+}
+
+// Wait returns for how long the upstream gets no requests; 0 if it may get one now.
+func (b *Board) Wait(now time.Time, upstream string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.states[upstream]; ok {
+		return s.wait(now)
+	}
+	return 0
+}
+
+func (s *state) wait(now time.Time) time.Duration { return max(s.leavingUntil.Sub(now), 0) }
+
+// Prune forgets the upstreams that isListed does not report.
+func (b *Board) Prune(isListed func(upstream string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.states {
+		if !isListed(id) {
+			delete(b.states, id)
+		}
+	}
+}
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -282,6 +282,7 @@
 		return failed, mpselect.Failed, "response belongs to another request"
 	}
 	e.p.cfg.Quotas.Observe(e.sentAt, row.ID, d.RateLimit(resp.StatusCode, resp.Header))
+	e.observeNotice(row, d.Notice(resp.StatusCode, resp.Header))
 	switch {
 	case d.LacksInputs(resp.StatusCode, resp.Header):
 		return inputsMissing, mpselect.Neutral, "stage results no longer exist"
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -17,6 +17,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
@@ -72,10 +73,12 @@
 	Trials     Trials
 	Prober     Prober
 	Quotas     Quotas
-	Origins    Origins
-	Metrics    *mpmetric.Set
-	Logger     log.Logger
-	Clock      func() time.Time
+	// Notices holds what upstreams said of themselves to this VM.
+	Notices *mpnotice.Board
+	Origins Origins
+	Metrics *mpmetric.Set
+	Logger  log.Logger
+	Clock   func() time.Time
 }
 
 // Proxy forwards requests to upstreams. It is safe for concurrent use.
--- a/core/request/mpproxy/mpproxy_test.go
+++ b/core/request/mpproxy/mpproxy_test.go
@@ -20,6 +20,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
@@ -112,6 +113,10 @@
 }
 func (fakeDialect) LacksInputs(status int, _ http.Header) bool { return status == http.StatusConflict }
 
+func (fakeDialect) Notice(_ int, h http.Header) mpnotice.Notice {
+	return mpnotice.Notice{IsLeaving: h.Get("Leaving") != ""}
+}
+
 func (fakeDialect) IsOtherProcess(status int) bool { return status == http.StatusMisdirectedRequest }
 
 func (fakeDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
@@ -218,7 +223,7 @@
 	r.p = New(Config{
 		DC: "a", State: staticState{table, list}, Dialect: fakeDialect{}, StageExecutor: r.executor,
 		Selector: mpselect.New(mpselect.Config{VM: "v"}), Budget: func(string) *mpbudget.Budget { return budget },
-		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Quotas: noQuotas{}, Origins: &fakeOrigins{ledger: mporigin.New()}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
+		Transport: r.transport, Quarantine: mpquarantine.New(), Evidence: noEvidence{}, Prober: &upProber{}, Quotas: noQuotas{}, Notices: mpnotice.New(), Origins: &fakeOrigins{ledger: mporigin.New()}, Trials: &soleArbiter{arbiter: mpquarantine.NewArbiter()},
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	return r
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 )
@@ -39,14 +42,25 @@
 	return mplist.Row{}, 0, false
 }
 
-// untried returns the candidates to which the request was not sent, of those that may go on
-// with a stream that has begun.
+// untried returns the candidates to which the request was not sent and that accept requests, of
+// those that may go on with a stream that has begun.
 func (e *exchange) untried() []mpselect.Candidate {
+	now := e.p.cfg.Clock()
 	return slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
-		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || e.origin.IsKnown() && c.Row.Version != e.origin.Version
+		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || e.origin.IsKnown() && c.Row.Version != e.origin.Version ||
+			e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
 	})
 }
 
+// observeNotice records what an answer says of the upstream.
+func (e *exchange) observeNotice(row mplist.Row, n mpnotice.Notice) {
+	now := e.p.cfg.Clock()
+	if e.p.cfg.Notices.Observe(now, e.sentAt, row.ID, n) {
+		_ = level.Info(e.p.cfg.Logger).Log("msg", "upstream accepts nothing from here", "pool", row.Pool, "upstream", row.ID,
+			"leaving", n.IsLeaving, "wait", e.p.cfg.Notices.Wait(now, row.ID))
+	}
+}
+
 // pickUsable selects an upstream whatever its rate. Trials of a suspect go to the same upstream
 // from all VMs, which other requests spare for a while.
 func (e *exchange) pickUsable(t trial) (mplist.Row, bool) {
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
@@ -82,6 +83,8 @@
 	// IsOtherProcess reports whether the response says that another process than the upstream
 	// of the attempt listens at its address.
 	IsOtherProcess(status int) bool
+	// Notice returns what the response says of the upstream, to this VM alone.
+	Notice(status int, h http.Header) mpnotice.Notice
 	// RateLimit returns what the response says of the rate that the upstream takes.
 	RateLimit(status int, h http.Header) mpquota.Statement
 }
