mpnotice, mpproxy: Send nothing to upstreams during the pause that they name

Change: the board of notices keeps the pause, for attempts, repeats, trials and calls for pieces. If no other upstream takes a request, the caller is told when the first pause ends. A field that is no positive number of seconds, or given twice, names none.

TestPausedUpstreamGetsNothing failed before: the second request was sent a second after a pause of three.

--- a/core/request/mpnotice/mpnotice.go
+++ b/core/request/mpnotice/mpnotice.go
@@ -3,6 +3,8 @@
 package mpnotice
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -11,15 +13,36 @@
 // leaving by then, or not at all.
 const leavingDuration = time.Minute
 
+// maxPause is the longest pause that is believed.
+const maxPause = 10 * time.Minute
+
 // Notice is what one answer says.
 type Notice struct {
 	// IsLeaving is set if the upstream is about to stop.
 	IsLeaving bool
+	// Pause is how long the upstream wants no requests from this VM; 0 if it does not say.
+	Pause time.Duration
+}
+
+// ParsePause returns the pause that the values of a Retry-After field name, in seconds. Dates,
+// negative numbers and fields that are given twice name none, since nothing says what is meant.
+func ParsePause(values []string) time.Duration {
+	if len(values) != 1 {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
 }
 
 type state struct {
 	// leavingUntil is until when the upstream counts as leaving, leavingToldAt when it said so.
 	leavingUntil, leavingToldAt time.Time
+	// pausedUntil is until when the upstream wants no requests, pausedSentAt when the request
+	// was sent whose answer said so.
+	pausedUntil, pausedSentAt time.Time
 }
 
 // Board holds the notices of upstreams. It is safe for concurrent use.
@@ -52,6 +75,9 @@
 	case sentAt.After(s.leavingToldAt):
 		s.leavingUntil = time.Time{}
 	}
+	if n.Pause > 0 && !sentAt.Before(s.pausedSentAt) {
+		s.pausedUntil, s.pausedSentAt = now.Add(n.Pause), sentAt
+	}
 	return before == 0 && s.wait(now) > 0
 }
 
@@ -65,7 +91,27 @@
 	return 0
 }
 
-func (s *state) wait(now time.Time) time.Duration { return max(s.leavingUntil.Sub(now), 0) }
+func (s *state) wait(now time.Time) time.Duration {
+	return max(s.leavingUntil.Sub(now), s.pausedUntil.Sub(now), 0)
+}
+
+// Shortest returns the shortest time after which one of the upstreams wants requests again; 0 if
+// none of them paused. Those that leave do not count.
+func (b *Board) Shortest(now time.Time, upstreams []string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var shortest time.Duration
+	for _, id := range upstreams {
+		s, ok := b.states[id]
+		if !ok || now.Before(s.leavingUntil) || !now.Before(s.pausedUntil) {
+			continue
+		}
+		if wait := s.pausedUntil.Sub(now); shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
 
 // Prune forgets the upstreams that isListed does not report.
 func (b *Board) Prune(isListed func(upstream string) bool) {
--- a/core/request/mpnotice/mpnotice_test.go
+++ b/core/request/mpnotice/mpnotice_test.go
@@ -51,3 +51,40 @@
 		t.Run(name, func(t *testing.T) { checkWait(t, c.answers, c.at, c.want) })
 	}
 }
+
+// Guards against requests to an upstream that wants none from this VM for a while, and against a
+// pause that an older answer shortens.
+func TestPause(t *testing.T) {
+	const second = time.Second
+	pause := func(d time.Duration) Notice { return Notice{Pause: d} }
+	for name, c := range map[string]struct {
+		answers  []answer
+		at, want time.Duration
+	}{
+		"a pause":                        {[]answer{{0, second, pause(3 * second)}}, second, 2 * second},
+		"a pause that has ended":         {[]answer{{0, second, pause(3 * second)}}, 3 * second, 0},
+		"a success does not end it":      {[]answer{{0, second, pause(3 * second)}, {second, second / 2, Notice{}}}, second, 2 * second},
+		"a newer one replaces it":        {[]answer{{0, second, pause(3 * second)}, {second, second / 2, pause(second)}}, second, second},
+		"an older one that arrives late": {[]answer{{0, second, pause(3 * second)}, {second, 3 * second, pause(second)}}, second, 2 * second},
+		"it leaves too":                  {[]answer{{0, second, Notice{IsLeaving: true, Pause: second}}}, second, leavingDuration - second},
+	} {
+		t.Run(name, func(t *testing.T) { checkWait(t, c.answers, c.at, c.want) })
+	}
+}
+
+// Guards against a field that makes no sense and stops all requests, or none.
+func TestParsePause(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"2": 2 * time.Second, "0.25": 250 * time.Millisecond, " 1 ": time.Second, "0": 0, "-3": 0, "NaN": 0, "+Inf": maxPause, "1e300": maxPause,
+		"soon": 0, "": 0, "Wed, 21 Oct 2015 07:28:00 GMT": 0,
+	} {
+		t.Run(text, func(t *testing.T) {
+			if diff := cmp.Diff(want, ParsePause([]string{text})); diff != "" {
+				t.Errorf("pause (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if got := ParsePause([]string{"1", "2"}); got != 0 {
+		t.Errorf("a field given twice names %v", got)
+	}
+}
--- a/core/request/mpproxy/notice_test.go
+++ b/core/request/mpproxy/notice_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -24,3 +27,24 @@
 		t.Errorf("upstreams (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against requests to an upstream that wants none from this VM for a while. If no other
+// one is left, the caller is told when to come back.
+func TestPausedUpstreamGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newHarness(t, reply{status: 503, header: http.Header{"Unrun": {"1"}, "Pause": {"3"}}}, good)
+		r.setVersions("v1")
+		checkAnswer(t, answer{Status: 503, Sent: 1}, r.serve(t.Context(), request("/read/")))
+		<-time.After(time.Second)
+		w := httptest.NewRecorder()
+		r.p.Serve(t.Context(), w, request("/read/"))
+		if diff := cmp.Diff("2.000", w.Header().Get("Retry-After")); diff != "" || w.Code != http.StatusServiceUnavailable {
+			t.Errorf("status %d, Retry-After (-want +got):\n%s", w.Code, diff)
+		}
+		if got := len(r.transport.requests); got != 1 {
+			t.Errorf("%d requests were sent, want 1", got)
+		}
+		<-time.After(2 * time.Second)
+		checkAnswer(t, answer{Status: 200, Body: "whole", Sent: 2}, r.serve(t.Context(), request("/read/")))
+	})
+}
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -16,8 +16,8 @@
 const maxTakes = 8
 
 // pick selects an upstream to which the request was not sent before, and takes one request
-// from its rate if it has one. If none is usable, it returns when the first rate allows one;
-// 0 if no rate is the reason.
+// from its rate if it has one. If none is usable, it returns when the first rate or pause of an
+// upstream allows one; 0 if these are not the reason.
 func (e *exchange) pick(ctx context.Context, t trial) (row mplist.Row, wait time.Duration, ok bool) {
 	for range maxTakes {
 		row, ok := e.pickUsable(t)
@@ -39,7 +39,11 @@
 	if until := e.p.cfg.Selector.DeferredUntil(now, e.untried()); !until.IsZero() {
 		return mplist.Row{}, until.Sub(now), false
 	}
-	return mplist.Row{}, 0, false
+	var ids []string
+	for _, c := range e.p.candidates(e.pool) {
+		ids = append(ids, c.Row.ID)
+	}
+	return mplist.Row{}, e.p.cfg.Notices.Shortest(now, ids), false
 }
 
 // untried returns the candidates to which the request was not sent and that accept requests, of
