mprelay: Believe a refusal while the own path to other upstreams works

Each connection to an upstream that had crashed waited for other VMs to be refused too, about 70 ms where a latency target is 120 ms. A VM that has reached another upstream within the last second is hardly cut off: it fails at once, and asks for the connections after that.

TestRefusalWhileOwnPathWorks failed before: the first connection went by way of another VM. TestPartitionFromUpstreams still serves all requests from three seconds on.

--- a/core/connection/mprelay/dialer.go
+++ b/core/connection/mprelay/dialer.go
@@ -199,6 +199,10 @@
 		if r.err == nil || ctx.Err() != nil {
 			return r.conn, r.err
 		}
+		if d.paths.IsSound(time.Now()) {
+			go d.askForNext(context.WithoutCancel(ctx), address)
+			return nil, r.err
+		}
 		ownErr, own = r.err, nil
 	case <-timer.C:
 	}
@@ -221,6 +225,16 @@
 	return nil, ownErr
 }
 
+// askForNext finds out whether other VMs reach an upstream, for the connections after one that
+// failed.
+func (d *Dialer) askForNext(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, ownPathTimeout)
+	defer cancel()
+	if conn, err := d.askOnce(ctx, address); err == nil {
+		_ = conn.Close()
+	}
+}
+
 // askOnce connects by way of another VM. While it is unknown whether one reaches the upstream,
 // the peers are asked for one connection only, and others wait for what they answer.
 func (d *Dialer) askOnce(ctx context.Context, address string) (net.Conn, error) {
--- a/core/connection/mprelay/paths.go
+++ b/core/connection/mprelay/paths.go
@@ -24,6 +24,9 @@
 	// minRelayed is the number of upstreams, reached by other VMs only, from which on a VM takes
 	// itself for cut off from all.
 	minRelayed = 2
+	// soundDuration is how long after a connection over its own path a VM takes an upstream that
+	// refuses one for ended.
+	soundDuration = time.Second
 	// peerPause is how long a VM that could not help is asked after all others.
 	peerPause = 2 * time.Second
 )
@@ -94,6 +97,13 @@
 	return p.isCut(now)
 }
 
+// IsSound reports whether the VM reached an upstream over its own path lately.
+func (p *Paths) IsSound(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.directAt) < soundDuration && !p.isCut(now)
+}
+
 // CanRelay reports whether this VM may connect others to the upstream at address.
 func (p *Paths) CanRelay(now time.Time, address string) bool {
 	p.mu.Lock()
--- a/core/connection/mprelay/tunnel_test.go
+++ b/core/connection/mprelay/tunnel_test.go
@@ -201,3 +201,34 @@
 		})
 	}
 }
+
+// Guards against requests that wait for other VMs whenever an upstream has crashed: while the own
+// path to others works, the refusal is believed, and only later connections ask.
+func TestRefusalWhileOwnPathWorks(t *testing.T) {
+	sound := listen(t, func(c *net.TCPConn) { _ = c.Close() })
+	lost := listen(t, func(c *net.TCPConn) { _ = c.Close() })
+	direct := (&net.Dialer{}).DialContext
+	d := newDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == lost {
+			return refuse(ctx, network, address)
+		}
+		return direct(ctx, network, address)
+	}, sound, lost)
+	d.SetPeers([]Peer{peerOf(t, "vm2", testSecret, relayServer{d: newDialer(direct, sound, lost)})})
+	if _, err := d.DialContext(t.Context(), "tcp", sound); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.DialContext(t.Context(), "tcp", lost); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("the first connection: error %v, want that of the own path", err)
+	}
+	for until := time.Now().Add(soundDuration); ; <-time.After(10 * time.Millisecond) {
+		conn, err := d.DialContext(t.Context(), "tcp", lost)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("later connections: %v", err)
+		}
+	}
+}
