mpnotice, mpselect: Bound what brittle upstreams have to refuse

Cause: each VM sends what it has, and learns of a full upstream only by its refusal, after which it avoids it for 100 ms; so do all the others.

Change: while an upstream is brittle, a VM has at most twice its equal share of the slots in flight there. A refusal halves that, and the VM sends nothing there for one and a half times the interval in which one refusal is its equal share. All VMs together then cause less than the upstream bears, without knowing of each other, and those that are not refused use the room. If no upstream takes a request, the caller is told when one does.

--- a/core/request/mpnotice/mpnotice.go
+++ b/core/request/mpnotice/mpnotice.go
@@ -13,6 +13,9 @@
 // leaving by then, or not at all.
 const leavingDuration = time.Minute
 
+// brittleDuration is how long an upstream counts as brittle after an answer that says so.
+const brittleDuration = 5 * time.Second
+
 // maxPause is the longest pause that is believed.
 const maxPause = 10 * time.Minute
 
@@ -22,6 +25,9 @@
 	IsLeaving bool
 	// Pause is how long the upstream wants no requests from this VM; 0 if it does not say.
 	Pause time.Duration
+	// Brittle is how many refusals for want of room in a second the upstream bears, from all VMs
+	// together; 0 if it does not say.
+	Brittle int
 }
 
 // ParsePause returns the pause that the values of a Retry-After field name, in seconds. Dates,
@@ -43,6 +49,9 @@
 	// pausedUntil is until when the upstream wants no requests, pausedSentAt when the request
 	// was sent whose answer said so.
 	pausedUntil, pausedSentAt time.Time
+	// brittle holds until brittleUntil; brittleToldAt is when the upstream said so.
+	brittle                     int
+	brittleUntil, brittleToldAt time.Time
 }
 
 // Board holds the notices of upstreams. It is safe for concurrent use.
@@ -78,9 +87,25 @@
 	if n.Pause > 0 && !sentAt.Before(s.pausedSentAt) {
 		s.pausedUntil, s.pausedSentAt = now.Add(n.Pause), sentAt
 	}
+	switch {
+	case n.Brittle > 0:
+		s.brittle, s.brittleUntil, s.brittleToldAt = n.Brittle, now.Add(brittleDuration), now
+	case sentAt.After(s.brittleToldAt):
+		s.brittleUntil = time.Time{}
+	}
 	return before == 0 && s.wait(now) > 0
 }
 
+// Brittle returns how many refusals in a second the upstream bears; 0 if it is not brittle.
+func (b *Board) Brittle(now time.Time, upstream string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.states[upstream]; ok && now.Before(s.brittleUntil) {
+		return s.brittle
+	}
+	return 0
+}
+
 // Wait returns for how long the upstream gets no requests; 0 if it may get one now.
 func (b *Board) Wait(now time.Time, upstream string) time.Duration {
 	b.mu.Lock()
--- a/core/request/mpnotice/mpnotice_test.go
+++ b/core/request/mpnotice/mpnotice_test.go
@@ -88,3 +88,32 @@
 		t.Errorf("a field given twice names %v", got)
 	}
 }
+
+// Guards against an upstream that is taken for sound because an older answer arrives late, or for
+// brittle long after it has said so.
+func TestBrittle(t *testing.T) {
+	const second = time.Second
+	begin := time.Unix(1_000, 0)
+	for name, c := range map[string]struct {
+		answers []answer
+		at      time.Duration
+		want    int
+	}{
+		"it is brittle":                {[]answer{{0, second, Notice{Brittle: 7}}}, second, 7},
+		"that was long ago":            {[]answer{{0, second, Notice{Brittle: 7}}}, brittleDuration, 0},
+		"it bears less":                {[]answer{{0, second, Notice{Brittle: 7}}, {second, 0, Notice{Brittle: 2}}}, second, 2},
+		"a newer answer withdraws it":  {[]answer{{0, second, Notice{Brittle: 7}}, {second, second / 2, Notice{}}}, second, 0},
+		"an older answer arrives late": {[]answer{{0, second, Notice{Brittle: 7}}, {second, 2 * second, Notice{}}}, second, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := New()
+			for _, a := range c.answers {
+				now := begin.Add(a.after)
+				b.Observe(now, now.Add(-a.sentBefore), "u", a.notice)
+			}
+			if diff := cmp.Diff(c.want, b.Brittle(begin.Add(c.at), "u")); diff != "" {
+				t.Errorf("refusals in a second (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -277,10 +277,12 @@
 
 // candidates returns the upstreams of the pool that accept new work.
 func (p *Proxy) candidates(pool *mproute.Pool) []mpselect.Candidate {
-	usable := p.cfg.State.Usable()
+	usable, now := p.cfg.State.Usable(), p.cfg.Clock()
 	var out []mpselect.Candidate
 	for _, row := range usable.Rows(pool.Spec().Name) {
-		out = append(out, mpselect.Candidate{Row: row, ColdUntil: usable.ColdUntil(row), ColdRate: pool.Spec().ColdRate})
+		out = append(out, mpselect.Candidate{
+			Row: row, ColdUntil: usable.ColdUntil(row), ColdRate: pool.Spec().ColdRate, Brittle: p.cfg.Notices.Brittle(now, row.ID),
+		})
 	}
 	return out
 }
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -36,6 +36,13 @@
 	// goneDuration is how long an upstream is not used after another process answered at its
 	// address. The list has it for some seconds more; it may start again under its ID.
 	goneDuration = 5 * time.Second
+	// A brittle upstream gets at most brittleShare times this VM's equal share of its slots, and
+	// that much more with each brittleGrowth answers, less after a refusal. Each VM risks a
+	// refusal brittleMargin times more seldom than its equal share of those that the upstream
+	// bears.
+	brittleShare  = 2.0
+	brittleGrowth = 8
+	brittleMargin = 1.5
 )
 
 // PickInfo describes an attempt for which an upstream is selected.
@@ -77,6 +84,12 @@
 	lastUsed            time.Time
 	// lastColdPick is when the upstream was last picked during its cold start.
 	lastColdPick time.Time
+	// window is the number of attempts in flight that a brittle upstream may get; 0 if it is not
+	// known. It gets none until fullUntil, after a refusal.
+	window    float64
+	fullUntil time.Time
+	// brittle is what the upstream said when it was last picked.
+	brittle int
 	// goneUntil is until when the upstream counts as ended.
 	goneUntil time.Time
 	// deferredUntil is when the upstream's rate allows the next request.
@@ -118,6 +131,9 @@
 	// ColdRate is the number of requests per second that the upstream can handle
 	// from all VMs together during its cold start.
 	ColdRate float64
+	// Brittle is how many refusals in a second the upstream bears from all VMs together; 0 if it
+	// does not say.
+	Brittle int
 }
 
 // Pick selects one of the candidates and counts an attempt in flight, which the
@@ -133,6 +149,7 @@
 	st.inFlight++
 	st.work += info.Work
 	st.lastUsed = now
+	st.brittle = c.Brittle
 	if now.Before(c.ColdUntil) {
 		st.lastColdPick = now
 	}
@@ -150,15 +167,18 @@
 	st.deferredUntil = until
 }
 
-// DeferredUntil returns when the first of the candidates that wait for their rate may be
-// picked again, or the zero time if none waits.
+// DeferredUntil returns when the first of the candidates that wait for their rate, or after a
+// refusal, may be picked again, or the zero time if none waits.
 func (s *Selector) DeferredUntil(now time.Time, candidates []Candidate) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var first time.Time
 	for _, c := range candidates {
-		if at := s.state(c.Row.ID).deferredUntil; now.Before(at) && (first.IsZero() || at.Before(first)) {
-			first = at
+		st := s.state(c.Row.ID)
+		for _, at := range []time.Time{st.deferredUntil, st.fullUntil} {
+			if now.Before(at) && (first.IsZero() || at.Before(first)) {
+				first = at
+			}
 		}
 	}
 	return first
@@ -176,7 +196,7 @@
 func (s *Selector) choose(now time.Time, candidates []Candidate, info PickInfo) (Candidate, bool) {
 	usable := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
 		st := s.state(c.Row.ID)
-		return slices.Contains(info.Exclude, c.Row.ID) || now.Before(st.deferredUntil) || now.Before(st.goneUntil) || !s.admitsCold(now, c)
+		return slices.Contains(info.Exclude, c.Row.ID) || now.Before(st.deferredUntil) || now.Before(st.goneUntil) || !s.admitsCold(now, c) || !s.admitsBrittle(now, c)
 	})
 	if len(usable) == 0 {
 		return Candidate{}, false
@@ -214,6 +234,37 @@
 	return float64(rank) <= c.ColdRate
 }
 
+// admitsBrittle reports whether this VM may send one more request to the candidate, which falls
+// over if all VMs together make it refuse too many.
+func (s *Selector) admitsBrittle(now time.Time, c Candidate) bool {
+	if c.Brittle <= 0 {
+		return true
+	}
+	st := s.state(c.Row.ID)
+	return !now.Before(st.fullUntil) && float64(st.inFlight) < max(min(st.windowOr(s.brittleStart(c)), s.brittleStart(c)), 1)
+}
+
+// brittleStart returns the most attempts in flight that a brittle candidate gets.
+func (s *Selector) brittleStart(c Candidate) float64 {
+	return math.Ceil(brittleShare * float64(c.Row.Slots) / float64(max(len(s.peers), 1)))
+}
+
+func (st *upstreamState) windowOr(start float64) float64 {
+	if st.window == 0 {
+		return start
+	}
+	return st.window
+}
+
+// recordRefusal lets a brittle upstream get less after a refusal.
+func (s *Selector) recordRefusal(now time.Time, st *upstreamState) {
+	if st.brittle <= 0 {
+		return
+	}
+	st.window = max(float64(st.inFlight)/2, 1)
+	st.fullUntil = now.Add(time.Duration(brittleMargin * float64(len(s.peers)) / float64(st.brittle) * float64(time.Second)))
+}
+
 // pickByAffinity returns the first upstream in the rendezvous order of the
 // affinity key whose work is within the load bound.
 func (s *Selector) pickByAffinity(list []Candidate, info PickInfo) Candidate {
@@ -280,6 +331,9 @@
 	case Succeeded:
 		failed := st.consecutiveFailures > 0
 		st.consecutiveFailures = 0
+		if st.window > 0 {
+			st.window += 1.0 / brittleGrowth
+		}
 		st.meanLatency += time.Duration(latencyWeight * float64(latency-st.meanLatency))
 		if failed {
 			return Restored
@@ -290,6 +344,7 @@
 		return Avoided
 	case Refused:
 		st.avoidUntil = now.Add(initialBackoff / 4)
+		s.recordRefusal(now, st)
 	case Gone:
 		wasGone := now.Before(st.goneUntil)
 		st.goneUntil = now.Add(goneDuration)
