--- a/core/request/mpnotice/mpnotice.go
+++ b/core/request/mpnotice/mpnotice.go
@@ -1,5 +1,5 @@
-// Package mpnotice holds what upstreams say of themselves in their answers, as far as it binds
-// only the VM that gets the answer.
+// Package mpnotice holds what upstreams say of themselves in their answers. Each VM goes by the
+// answers that it gets.
 package mpnotice
 
 import (
