--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -36,10 +36,10 @@
 	// goneDuration is how long an upstream is not used after another process answered at its
 	// address. The list has it for some seconds more; it may start again under its ID.
 	goneDuration = 5 * time.Second
-	// A brittle upstream gets at most brittleShare times this VM's equal share of its slots, and
-	// that much more with each brittleGrowth answers, less after a refusal. Each VM risks a
-	// refusal brittleMargin times more seldom than its equal share of those that the upstream
-	// bears.
+	// A brittle upstream has at most brittleShare times this VM's equal share of its slots in
+	// flight. A refusal halves that; it grows again by one attempt with each brittleGrowth
+	// answers. Each VM risks a refusal brittleMargin times more seldom than its equal share of
+	// those that the upstream bears.
 	brittleShare  = 2.0
 	brittleGrowth = 8
 	brittleMargin = 1.5
