mpbatch: Do not read the state of pieces after their job is done

Neither the handles nor the data centres change any more, so that no result was wrong.

TestResultsWhileDuplicateEnds makes the race detector report it each time on the code before.

--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -195,8 +195,9 @@
 		return nil, j.err
 	}
 	out := make([]Result, len(j.pieces))
-	for i, p := range j.pieces {
-		out[i] = Result{p.handle, p.dc}
+	// Other fields of the pieces still change, as calls end that make a piece a second time.
+	for i := range j.pieces {
+		out[i] = Result{j.pieces[i].handle, j.pieces[i].dc}
 	}
 	return out, nil
 }
