mpnotice: Let only an answer of the upstream withdraw its notice

Read again before landing: a call for pieces without an answer, a reply that is not whole and a 421 of another process were recorded as answers that say nothing, and a newer answer that says nothing withdraws a leave and the word that an upstream is brittle. docs/PLATFORM.md says otherwise.

A notice now says whether the upstream has answered, as the statement of a rate does. The rows 'no answer withdraws nothing' failed before in TestLeaving and TestBrittle.

--- a/core/process/mpgateway/brittle_test.go
+++ b/core/process/mpgateway/brittle_test.go
@@ -100,7 +100,7 @@
 
 func (brittleDialect) Notice(_ int, h http.Header) mpnotice.Notice {
 	n, _ := strconv.Atoi(h.Get("Brittle"))
-	return mpnotice.Notice{Brittle: n}
+	return mpnotice.Notice{IsValid: true, Brittle: n}
 }
 
 func (brittleDialect) NotRun(_ int, h http.Header) bool { return h.Get("Unrun") != "" }
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -242,7 +242,7 @@
 		defer cancel()
 		m := &fakeClient{freed: map[string]bool{}}
 		o := newTwoStageOwner(ctx, t, m)
-		o.cfg.Notices.Observe(time.Now(), time.Now(), "u0", mpnotice.Notice{IsLeaving: true})
+		o.cfg.Notices.Observe(time.Now(), time.Now(), "u0", mpnotice.Notice{IsValid: true, IsLeaving: true})
 		results, err := o.Make(ctx, whole("first"), newSpec(time.Now(), 0, nil))
 		if err != nil {
 			t.Fatal(err)
--- a/core/request/mpnotice/mpnotice.go
+++ b/core/request/mpnotice/mpnotice.go
@@ -19,8 +19,11 @@
 // maxPause is the longest pause that is believed.
 const maxPause = 10 * time.Minute
 
-// Notice is what one answer says.
+// Notice is what one answer says. The zero value is no answer, or one of another process, and
+// says nothing.
 type Notice struct {
+	// IsValid is set if the upstream has answered.
+	IsValid bool
 	// IsLeaving is set if the upstream is about to stop.
 	IsLeaving bool
 	// Pause is how long the upstream wants no requests from this VM; 0 if it does not say.
@@ -67,11 +70,14 @@
 // request that was sent before the upstream last gave notice does not withdraw that. It returns
 // true if the upstream accepts no requests from now on and did before.
 func (b *Board) Observe(now, sentAt time.Time, upstream string, n Notice) bool {
+	if !n.IsValid {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.states[upstream]
 	if !ok {
-		if n == (Notice{}) {
+		if n == (Notice{IsValid: true}) {
 			return false
 		}
 		s = &state{}
--- a/core/request/mpnotice/mpnotice_test.go
+++ b/core/request/mpnotice/mpnotice_test.go
@@ -37,16 +37,17 @@
 // arrives late.
 func TestLeaving(t *testing.T) {
 	const second = time.Second
-	leaving := Notice{IsLeaving: true}
+	leaving := Notice{IsValid: true, IsLeaving: true}
 	for name, c := range map[string]struct {
 		answers  []answer
 		at, want time.Duration
 	}{
-		"nothing was said":             {[]answer{{0, 0, Notice{}}}, second, 0},
+		"nothing was said":             {[]answer{{0, 0, Notice{IsValid: true}}}, second, 0},
 		"it leaves":                    {[]answer{{0, second, leaving}}, second, leavingDuration - second},
 		"it has left long ago":         {[]answer{{0, second, leaving}}, leavingDuration, 0},
-		"an older answer arrives late": {[]answer{{second, second, leaving}, {2 * second, 2 * second, Notice{}}}, 2 * second, leavingDuration - second},
-		"a newer answer withdraws it":  {[]answer{{0, second, leaving}, {2 * second, second, Notice{}}}, 2 * second, 0},
+		"an older answer arrives late": {[]answer{{second, second, leaving}, {2 * second, 2 * second, Notice{IsValid: true}}}, 2 * second, leavingDuration - second},
+		"no answer withdraws nothing":  {[]answer{{0, second, leaving}, {2 * second, second, Notice{}}}, 2 * second, leavingDuration - 2*second},
+		"a newer answer withdraws it":  {[]answer{{0, second, leaving}, {2 * second, second, Notice{IsValid: true}}}, 2 * second, 0},
 	} {
 		t.Run(name, func(t *testing.T) { checkWait(t, c.answers, c.at, c.want) })
 	}
@@ -56,17 +57,17 @@
 // pause that an older answer shortens.
 func TestPause(t *testing.T) {
 	const second = time.Second
-	pause := func(d time.Duration) Notice { return Notice{Pause: d} }
+	pause := func(d time.Duration) Notice { return Notice{IsValid: true, Pause: d} }
 	for name, c := range map[string]struct {
 		answers  []answer
 		at, want time.Duration
 	}{
 		"a pause":                        {[]answer{{0, second, pause(3 * second)}}, second, 2 * second},
 		"a pause that has ended":         {[]answer{{0, second, pause(3 * second)}}, 3 * second, 0},
-		"a success does not end it":      {[]answer{{0, second, pause(3 * second)}, {second, second / 2, Notice{}}}, second, 2 * second},
+		"a success does not end it":      {[]answer{{0, second, pause(3 * second)}, {second, second / 2, Notice{IsValid: true}}}, second, 2 * second},
 		"a newer one replaces it":        {[]answer{{0, second, pause(3 * second)}, {second, second / 2, pause(second)}}, second, second},
 		"an older one that arrives late": {[]answer{{0, second, pause(3 * second)}, {second, 3 * second, pause(second)}}, second, 2 * second},
-		"it leaves too":                  {[]answer{{0, second, Notice{IsLeaving: true, Pause: second}}}, second, leavingDuration - second},
+		"it leaves too":                  {[]answer{{0, second, Notice{IsValid: true, IsLeaving: true, Pause: second}}}, second, leavingDuration - second},
 	} {
 		t.Run(name, func(t *testing.T) { checkWait(t, c.answers, c.at, c.want) })
 	}
@@ -99,11 +100,12 @@
 		at      time.Duration
 		want    int
 	}{
-		"it is brittle":                {[]answer{{0, second, Notice{Brittle: 7}}}, second, 7},
-		"that was long ago":            {[]answer{{0, second, Notice{Brittle: 7}}}, brittleDuration, 0},
-		"it bears less":                {[]answer{{0, second, Notice{Brittle: 7}}, {second, 0, Notice{Brittle: 2}}}, second, 2},
-		"a newer answer withdraws it":  {[]answer{{0, second, Notice{Brittle: 7}}, {second, second / 2, Notice{}}}, second, 0},
-		"an older answer arrives late": {[]answer{{0, second, Notice{Brittle: 7}}, {second, 2 * second, Notice{}}}, second, 7},
+		"it is brittle":                {[]answer{{0, second, Notice{IsValid: true, Brittle: 7}}}, second, 7},
+		"that was long ago":            {[]answer{{0, second, Notice{IsValid: true, Brittle: 7}}}, brittleDuration, 0},
+		"it bears less":                {[]answer{{0, second, Notice{IsValid: true, Brittle: 7}}, {second, 0, Notice{IsValid: true, Brittle: 2}}}, second, 2},
+		"no answer withdraws nothing":  {[]answer{{0, second, Notice{IsValid: true, Brittle: 7}}, {second, second / 2, Notice{}}}, second, 7},
+		"a newer answer withdraws it":  {[]answer{{0, second, Notice{IsValid: true, Brittle: 7}}, {second, second / 2, Notice{IsValid: true}}}, second, 0},
+		"an older answer arrives late": {[]answer{{0, second, Notice{IsValid: true, Brittle: 7}}, {second, 2 * second, Notice{IsValid: true}}}, second, 7},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := New()
--- a/core/request/mpproxy/fakes_test.go
+++ b/core/request/mpproxy/fakes_test.go
@@ -98,7 +98,7 @@
 func (fakeDialect) LacksInputs(status int, _ http.Header) bool { return status == http.StatusConflict }
 
 func (fakeDialect) Notice(_ int, h http.Header) mpnotice.Notice {
-	return mpnotice.Notice{IsLeaving: h.Get("Leaving") != "", Pause: mpnotice.ParsePause(h.Values("Pause"))}
+	return mpnotice.Notice{IsValid: true, IsLeaving: h.Get("Leaving") != "", Pause: mpnotice.ParsePause(h.Values("Pause"))}
 }
 
 func (fakeDialect) IsOtherProcess(status int) bool { return status == http.StatusMisdirectedRequest }
