mporigin, mpgateway: Trust the history of versions only while the list is confirmed

Read again before landing: a stream of unknown origin goes on if its pool had one version for long enough. A VM looked only every half a second whether it still held its lease, so that one which had been frozen or cut off could take a stale list for all there was, in the moment after it woke, and join the text of two versions.

The history now counts from confirmations: with a lease, four times a second. Without one for a second, or after a tick without a lease, it begins anew, and until then it answers nothing. Voters that do not answer when an origin is looked for are logged.

New are the row 'the VM was frozen until now' and TestInterruptedHistory; the rows about a VM out of touch stay, with confirmations in place of the interruption.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -309,7 +309,13 @@
 	}
 	if g.cfg.CallerAddress != "" {
 		go mptime.Every(ctx, fallbackListInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
-		go mptime.Every(ctx, historyInterval, func(now time.Time) { g.origins.checkLease(now, g.member.HasLease(now)) })
+		go mptime.Every(ctx, confirmInterval, func(now time.Time) {
+			if g.member.HasLease(now) {
+				g.origins.history.Confirm(now)
+			} else {
+				g.origins.history.Interrupt()
+			}
+		})
 	}
 	go g.evidence.run(ctx)
 	go g.cfg.Relay.Run(ctx)
--- a/core/process/mpgateway/origins.go
+++ b/core/process/mpgateway/origins.go
@@ -30,8 +30,8 @@
 	spareDelay = 25 * time.Millisecond
 	// findTimeout limits the wait for the voters if none of them has an origin.
 	findTimeout = 150 * time.Millisecond
-	// historyInterval is how often a VM checks that its list of upstreams is the newest.
-	historyInterval = 500 * time.Millisecond
+	// confirmInterval is how often a VM with a lease takes its list of upstreams for the newest.
+	confirmInterval = 250 * time.Millisecond
 )
 
 // origins keeps which software began the streams of callers. The voters have the origins of all
@@ -161,37 +161,47 @@
 	type answer struct {
 		origin mporigin.Origin
 		ok     bool
+		err    error
 	}
 	keepers := o.keepers(now, key)
 	answers := make(chan answer, len(keepers))
+	answered := 0
+	var lastErr error
 	for _, vm := range keepers {
 		go func() {
-			origin, ok := o.findAt(ctx, vm, key)
-			answers <- answer{origin, ok}
+			origin, ok, err := o.findAt(ctx, vm, key)
+			answers <- answer{origin, ok, err}
 		}()
 	}
 	for range keepers {
-		if a := <-answers; a.ok {
+		switch a := <-answers; {
+		case a.ok:
 			o.metrics.Add("origins.found", 1)
 			return a.origin, true
+		case a.err != nil:
+			lastErr = a.err
+		default:
+			answered++
 		}
 	}
+	_ = level.Info(o.logger).Log("msg", "origin not found", "voters", len(keepers), "answered", answered, "err", lastErr)
 	return mporigin.Origin{}, false
 }
 
-func (o *origins) findAt(ctx context.Context, vm mpview.VM, key mporigin.Key) (mporigin.Origin, bool) {
+// findAt asks a voter for an origin. It returns false without an error if the voter has none.
+func (o *origins) findAt(ctx context.Context, vm mpview.VM, key mporigin.Key) (mporigin.Origin, bool, error) {
 	if vm.Name == o.vm {
-		return mporigin.Origin{}, false // Find has looked here.
+		return mporigin.Origin{}, false, nil // Find has looked here.
 	}
 	peer, err := o.dial(vm.Peer)
 	if err != nil {
-		return mporigin.Origin{}, false
+		return mporigin.Origin{}, false, err
 	}
 	reply, err := peer.Find(ctx, &mpwire.FindRequest{Stream: key[:]})
 	if err != nil || !reply.GetFound() {
-		return mporigin.Origin{}, false
+		return mporigin.Origin{}, false, err
 	}
-	return mporigin.Origin{Pool: reply.GetPool(), Version: reply.GetVersion()}, true
+	return mporigin.Origin{Pool: reply.GetPool(), Version: reply.GetVersion()}, true, nil
 }
 
 // Sole implements mpproxy.Origins.
@@ -225,12 +235,3 @@
 
 // observe records a list of upstreams.
 func (o *origins) observe(now time.Time, list *mplist.List) { o.history.Observe(now, list) }
-
-// checkLease interrupts the history while this VM may miss a newer list of upstreams.
-func (o *origins) checkLease(now time.Time, hasLease bool) {
-	if hasLease {
-		o.history.Resume(now)
-	} else {
-		o.history.Interrupt()
-	}
-}
--- a/core/request/mporigin/mporigin_test.go
+++ b/core/request/mporigin/mporigin_test.go
@@ -86,37 +86,42 @@
 // left the list, or has not been seen by a VM that started after it.
 func TestSoleVersion(t *testing.T) {
 	const span = 10 * time.Second
+	never := [2]time.Duration{}
 	type step struct {
 		at       time.Duration
 		versions []string
 	}
 	for name, c := range map[string]struct {
-		steps     []step
-		interrupt time.Duration
-		at        time.Duration
-		want      string
+		steps []step
+		// silent is from and until when the list is not confirmed.
+		silent [2]time.Duration
+		at     time.Duration
+		want   string
 	}{
-		"no list yet":                     {nil, 0, 20 * time.Second, ""},
-		"one version for long":            {[]step{{0, []string{"v1", "v1"}}}, 0, span, "v1"},
-		"one version, not for long":       {[]step{{0, []string{"v1"}}}, 0, span - 1, ""},
-		"two versions":                    {[]step{{0, []string{"v1", "v2"}}}, 0, span, ""},
-		"an unknown version":              {[]step{{0, []string{""}}}, 0, span, ""},
-		"one of two upstreams is unknown": {[]step{{0, []string{"v1", ""}}}, 0, span, ""},
-		"another version has just left":   {[]step{{0, []string{"v1", "v2"}}, {15 * time.Second, []string{"v2"}}}, 0, 24 * time.Second, ""},
-		"another version left long ago":   {[]step{{0, []string{"v1", "v2"}}, {15 * time.Second, []string{"v2"}}}, 0, 26 * time.Second, "v2"},
-		"another version came":            {[]step{{0, []string{"v1"}}, {15 * time.Second, []string{"v1", "v2"}}}, 0, 16 * time.Second, ""},
-		"one version replaced another":    {[]step{{0, []string{"v1"}}, {15 * time.Second, []string{"v2"}}}, 0, 16 * time.Second, ""},
-		"the VM was out of touch":         {[]step{{0, []string{"v1"}}}, 15 * time.Second, 20 * time.Second, ""},
-		"the VM was out of touch before":  {[]step{{0, []string{"v1"}}}, 15 * time.Second, 25 * time.Second, "v1"},
+		"no list yet":                     {nil, never, 20 * time.Second, ""},
+		"one version for long":            {[]step{{0, []string{"v1", "v1"}}}, never, span, "v1"},
+		"one version, not for long":       {[]step{{0, []string{"v1"}}}, never, span - 1, ""},
+		"two versions":                    {[]step{{0, []string{"v1", "v2"}}}, never, span, ""},
+		"an unknown version":              {[]step{{0, []string{""}}}, never, span, ""},
+		"one of two upstreams is unknown": {[]step{{0, []string{"v1", ""}}}, never, span, ""},
+		"another version has just left":   {[]step{{0, []string{"v1", "v2"}}, {15 * time.Second, []string{"v2"}}}, never, 24 * time.Second, ""},
+		"another version left long ago":   {[]step{{0, []string{"v1", "v2"}}, {15 * time.Second, []string{"v2"}}}, never, 26 * time.Second, "v2"},
+		"another version came":            {[]step{{0, []string{"v1"}}, {15 * time.Second, []string{"v1", "v2"}}}, never, 16 * time.Second, ""},
+		"one version replaced another":    {[]step{{0, []string{"v1"}}, {15 * time.Second, []string{"v2"}}}, never, 16 * time.Second, ""},
+		"the VM was out of touch":         {[]step{{0, []string{"v1"}}}, [2]time.Duration{10 * time.Second, 15 * time.Second}, 20 * time.Second, ""},
+		"the VM was out of touch before":  {[]step{{0, []string{"v1"}}}, [2]time.Duration{10 * time.Second, 15 * time.Second}, 25500 * time.Millisecond, "v1"},
+		"the VM was frozen until now":     {[]step{{0, []string{"v1"}}}, [2]time.Duration{15 * time.Second, time.Hour}, 20 * time.Second, ""},
+		"a confirmation is late":          {[]step{{0, []string{"v1"}}}, [2]time.Duration{15 * time.Second, time.Hour}, 15500 * time.Millisecond, "v1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := NewHistory()
-			for _, s := range c.steps {
-				h.Observe(begin.Add(s.at), listOf(s.at, s.versions...))
-			}
-			if c.interrupt > 0 {
-				h.Interrupt()
-				h.Resume(begin.Add(c.interrupt))
+			h, next := NewHistory(), 0
+			for at := time.Duration(0); at <= c.at; at += 500 * time.Millisecond {
+				for ; next < len(c.steps) && c.steps[next].at <= at; next++ {
+					h.Observe(begin.Add(at), listOf(at, c.steps[next].versions...))
+				}
+				if at <= c.silent[0] || at > c.silent[1] {
+					h.Confirm(begin.Add(at))
+				}
 			}
 			got, ok := h.Sole(begin.Add(c.at), "app", span)
 			if !ok {
@@ -128,3 +133,21 @@
 		})
 	}
 }
+
+// Guards against a VM that loses its lease for less than maxUnconfirmed, by its own clock, and
+// does not notice that it may have missed a list.
+func TestInterruptedHistory(t *testing.T) {
+	h := NewHistory()
+	h.Observe(begin, listOf(0, "v1"))
+	h.Confirm(begin)
+	h.Interrupt()
+	for at := time.Duration(0); at <= 10*time.Second; at += maxUnconfirmed / 2 {
+		h.Confirm(begin.Add(time.Second + at))
+	}
+	if _, ok := h.Sole(begin.Add(11*time.Second), "app", 10500*time.Millisecond); ok {
+		t.Error("a version counts as the only one over an interruption")
+	}
+	if got, _ := h.Sole(begin.Add(11*time.Second), "app", 10*time.Second); got != "v1" {
+		t.Errorf("only version since the interruption: %q, want v1", got)
+	}
+}
