--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -173,7 +173,7 @@
 		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
-		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
+		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Table: g.Table, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.evidence = newEvidence(func(ctx context.Context, op mpview.Op) error { return g.propose(ctx, systemName, op) }, g.member.Current, cfg.Logger)
 	g.trials = &trials{
--- a/core/process/mpstage/burst_test.go
+++ b/core/process/mpstage/burst_test.go
@@ -156,7 +156,7 @@
 	peers := mppeer.NewClient(mppeer.Config{Secret: "s", Metrics: metrics})
 	t.Cleanup(peers.Close)
 	return burstVM{client: client, router: NewRouter(RouterConfig{
-		VM: vm.Name, Local: owner, Client: peers, View: func() *mpview.View { return view }, Usable: func() *mplist.Usable { return usable },
+		VM: vm.Name, Local: owner, Client: peers, View: func() *mpview.View { return view }, Table: func() *mproute.Table { return table }, Usable: func() *mplist.Usable { return usable },
 		Logger: logger, Clock: time.Now,
 	})}
 }
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -1,5 +1,5 @@
 // Package mpstage runs the pieces of stages. Each pool of upstreams that make pieces is
-// divided into shards, as many as the number of VMs calls for. Each shard has one owner
+// divided into shards, as many as their owners' processors call for. Each shard has one owner
 // among the VMs, which batches the pieces of its requests; the other VMs forward theirs
 // to it. Owners are chosen without consensus: making a piece twice is safe, so two
 // concurrent owners only cost extra work, and an owner that does not respond is skipped.
@@ -115,7 +115,7 @@
 		q.batcher.SetSpec(*p.Spec().Batch)
 	}
 	var upstreams []mpbatch.Upstream
-	for _, r := range q.shard.upstreams(o.usable.Rows(q.shard.pool)) {
+	for _, r := range q.shard.upstreams(o.usable) {
 		upstreams = append(upstreams, mpbatch.Upstream{ID: r.ID, Address: r.Address, DC: r.DC})
 	}
 	q.batcher.SetUpstreams(upstreams)
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -17,6 +16,7 @@
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -46,6 +46,8 @@
 	Local  *Owner
 	Client *mppeer.Client
 	View   func() *mpview.View
+	// Table returns the plan in force, or nil.
+	Table func() *mproute.Table
 	// Usable returns the upstreams that may get new work.
 	Usable func() *mplist.Usable
 	Logger log.Logger
@@ -59,6 +61,13 @@
 	mu                sync.Mutex
 	unresponsiveUntil map[string]time.Time
 	backlogs          map[backlogKey]backlogReport
+	// divisions holds how the pools are divided under dividedTable and dividedUsable, and
+	// ranks the owners of shards in rankedView.
+	divisions     map[string]*division
+	dividedTable  *mproute.Table
+	dividedUsable *mplist.Usable
+	ranks         map[shard][]mpview.VM
+	rankedView    *mpview.View
 }
 
 // backlogKey identifies the queue for one priority of a pool.
@@ -81,24 +90,43 @@
 // owners returns the candidate owners of s in order of preference: the VMs that
 // serve callers in rendezvous order, with unresponsive ones last.
 func (r *Router) owners(now time.Time, view *mpview.View, s shard) []mpview.VM {
-	var names []string
-	for _, vm := range view.Serving() {
-		names = append(names, vm.Name)
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out, unresponsive []mpview.VM
-	for _, name := range mprank.OfName(s.rankKey(), names) {
-		vm, _ := view.VM(name)
-		if now.Before(r.unresponsiveUntil[name]) {
+	for _, vm := range r.rank(view, s) {
+		if now.Before(r.unresponsiveUntil[vm.Name]) {
 			unresponsive = append(unresponsive, vm)
 		} else {
 			out = append(out, vm)
 		}
+		if len(out) == maxOwners {
+			return out
+		}
 	}
 	return append(out, unresponsive...)
 }
 
+// rank returns the VMs that serve callers in the rendezvous order of s. The caller holds r.mu.
+func (r *Router) rank(view *mpview.View, s shard) []mpview.VM {
+	if r.rankedView != view {
+		r.rankedView, r.ranks = view, map[shard][]mpview.VM{}
+	}
+	if list, ok := r.ranks[s]; ok {
+		return list
+	}
+	var names []string
+	for _, vm := range view.Serving() {
+		names = append(names, vm.Name)
+	}
+	list := make([]mpview.VM, 0, len(names))
+	for _, name := range mprank.OfName(s.rankKey(), names) {
+		vm, _ := view.VM(name)
+		list = append(list, vm)
+	}
+	r.ranks[s] = list
+	return list
+}
+
 func (r *Router) markUnresponsive(now time.Time, vm string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,8 +165,7 @@
 // owner does not answer, and returns its results.
 func (r *Router) Make(ctx context.Context, pool string, spec mpbatch.JobSpec) ([]mpbatch.Result, error) {
 	view := r.cfg.View()
-	count := shardCount(len(view.Serving()), len(r.cfg.Usable().Rows(pool)))
-	s := shard{pool: pool, number: int(xxhash.Sum64String(spec.Request) % uint64(count)), count: count}
+	s := r.division(pool).choose(spec.Request, spec.DC)
 	err := mperror.Wrap(mperror.ErrNoUpstream, "no VM owns pool %s", pool)
 	owners := r.owners(r.cfg.Clock(), view, s)
 	if len(owners) == 0 {
@@ -195,21 +222,33 @@
 	})
 }
 
+// division returns how a pool is divided into shards.
+func (r *Router) division(pool string) *division {
+	table, usable := r.cfg.Table(), r.cfg.Usable()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dividedTable != table || r.dividedUsable != usable {
+		r.dividedTable, r.dividedUsable, r.divisions = table, usable, map[string]*division{}
+	}
+	d, ok := r.divisions[pool]
+	if !ok {
+		count := 1
+		if p := table.Pool(pool); p != nil && p.Spec().Batch != nil {
+			count = shardCount(*p.Spec().Batch, usable.Listed(pool))
+		}
+		d = newDivision(pool, count, usable)
+		r.divisions[pool] = d
+	}
+	return d
+}
+
 // Free tells the owners of pool that results are no longer needed. This VM frees those
 // whose owner cannot be told.
 func (r *Router) Free(pool string, handles []string) {
-	view := r.cfg.View()
-	rows := r.cfg.Usable().Rows(pool)
-	count := shardCount(len(view.Serving()), len(rows))
-	numberByAddress := map[string]int{}
-	for row, number := range assign(rows, count) {
-		numberByAddress[row.Address] = number
-	}
+	view, division := r.cfg.View(), r.division(pool)
 	byShard := map[shard][]string{}
 	for _, h := range handles {
-		// Any owner will do for an upstream that is no longer usable: none counts its
-		// results.
-		s := shard{pool: pool, number: numberByAddress[r.cfg.Local.addressOf(h)], count: count}
+		s := division.ofMaker(r.cfg.Local.addressOf(h))
 		byShard[s] = append(byShard[s], h)
 	}
 	for s, list := range byShard {
--- a/core/process/mpstage/router_test.go
+++ b/core/process/mpstage/router_test.go
@@ -16,6 +16,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -95,7 +96,7 @@
 	client := mppeer.NewClient(mppeer.Config{Secret: "s", Metrics: mpmetric.New()})
 	t.Cleanup(client.Close)
 	return NewRouter(RouterConfig{
-		VM: "router", Client: client, View: func() *mpview.View { return view }, Usable: func() *mplist.Usable { return nil },
+		VM: "router", Client: client, View: func() *mpview.View { return view }, Table: func() *mproute.Table { return &mproute.Table{} }, Usable: func() *mplist.Usable { return nil },
 		Logger: mplog.New(io.Discard, "info"), Clock: time.Now,
 	})
 }
--- a/core/process/mpstage/shard.go
+++ b/core/process/mpstage/shard.go
@@ -4,21 +4,28 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mproute"
 )
 
 const (
-	// vmsPerShard is the number of VMs whose pieces pass through the processor and the
-	// link of one owner, for each pool.
-	vmsPerShard = 32
+	// ownerCallTime is the processor time of an owner for a call and the jobs in it, and
+	// ownerPieceTime that for each of its pieces.
+	ownerCallTime  = 1350 * time.Microsecond
+	ownerPieceTime = 50 * time.Microsecond
+	// maxOwnerLoad is the share of a core that an owner may need: two thirds of a small VM's.
+	maxOwnerLoad = 0.12
 	// minShardUpstreams is the least number of upstreams in a shard, since calls are
 	// filled from the queue that the upstreams of a shard have in common.
-	minShardUpstreams = 2
+	minShardUpstreams = 8
+	// minShardDCs is the least number of data centres that a shard has upstreams in, as far as
+	// there are as many, so that it outlives one of them.
+	minShardDCs = 2
 )
 
 // shard identifies one of the count parts of a pool, each of which has an owner of its own.
@@ -28,26 +35,51 @@
 	number, count int
 }
 
-// shardCount returns into how many shards a pool is divided. The count is rounded to a
-// power of two, so that it stays the same while some VMs are added or lost.
-func shardCount(vms, upstreams int) int {
-	exact := float64(max(vms, 1)) / vmsPerShard
-	count := 1 << max(int(math.Round(math.Log2(exact))), 0)
-	for count > 1 && upstreams < count*minShardUpstreams {
-		count /= 2
+// shardCount returns into how many shards a pool with the given upstreams is divided: as few
+// as their owners bear, since only a shard with many upstreams in a data centre can make results
+// near their readers. What the owners have to bear is what the upstreams can make, so that
+// VMs with the same plan and list agree on the count, and it is the same in a burst as before it.
+// The counts are far enough apart to stay the same while some upstreams are added or lost.
+func shardCount(spec mproute.BatchSpec, listed []mplist.Row) int {
+	load := float64(len(listed)) * ownerLoad(spec)
+	count := 1
+	for next := 2; float64(count)*maxOwnerLoad < load && len(listed) >= next*minShardUpstreams; next = nextCount(count) {
+		count = next
 	}
 	return count
 }
 
-// assign returns the shard number of each row of a pool. Each shard gets its part of each
-// data centre: its jobs then find upstreams near their inputs, and the loss of a data
-// centre leaves no shard without upstreams. A row that is added or removed moves only rows
-// of its data centre.
+// nextCount returns the count after one of 1, 2, 3, 4, 6, 8, 12 and so on.
+func nextCount(count int) int {
+	if count <= 3 {
+		return count + 1
+	}
+	if count&(count-1) == 0 {
+		return count + count/2
+	}
+	return count + count/3
+}
+
+// ownerLoad returns the share of a core that an owner needs for an upstream that is never idle.
+// Its calls are half full on average, as there is one whenever pieces wait.
+func ownerLoad(spec mproute.BatchSpec) float64 {
+	pieces := (spec.MaxPieces + 1) / 2
+	work := ownerCallTime + time.Duration(pieces)*ownerPieceTime
+	return work.Seconds() / max(spec.CallDuration(pieces), time.Millisecond).Seconds()
+}
+
+// assign returns the shard number of each row of a pool. The data centres are dealt out to
+// groups of shards, so that all upstreams of a data centre have few queues, and each group has
+// minShardDCs of them: the loss of one leaves no shard without upstreams. The shards of a group get
+// their part of each of its data centres. A row that is added or removed moves only rows of its
+// data centre.
 func assign(rows []mplist.Row, count int) map[mplist.Row]int {
 	byDC := map[string][]mplist.Row{}
 	for _, r := range rows {
 		byDC[r.DC] = append(byDC[r.DC], r)
 	}
+	groups := groupCount(count, len(byDC))
+	shards := count / groups
 	numbers := map[mplist.Row]int{}
 	for i, dc := range slices.Sorted(maps.Keys(byDC)) {
 		list := byDC[dc]
@@ -56,17 +88,74 @@
 		})
 		for j, r := range list {
 			// Starting at another shard for each data centre spreads the upstreams left
-			// over where count does not divide their number.
-			numbers[r] = (i + j) % count
+			// over where their number is not a multiple of that of the shards.
+			numbers[r] = i%groups*shards + (i/groups+j)%shards
 		}
 	}
 	return numbers
 }
 
-// upstreams returns those of rows that belong to s.
-func (s shard) upstreams(rows []mplist.Row) []mplist.Row {
-	numbers := assign(rows, s.count)
-	return slices.DeleteFunc(slices.Clone(rows), func(r mplist.Row) bool { return numbers[r] != s.number })
+// groupCount returns into how many groups the shards of a pool are divided: the largest divisor of
+// count that leaves minShardDCs to each group.
+func groupCount(count, dcs int) int {
+	for groups := min(count, dcs/minShardDCs); groups > 1; groups-- {
+		if count%groups == 0 {
+			return groups
+		}
+	}
+	return 1
+}
+
+// division is how a pool is divided into shards.
+type division struct {
+	pool  string
+	count int
+	// numbers holds the shard of each usable upstream, by its address.
+	numbers map[string]int
+	// all holds the shard of each usable upstream, and byDC those in each data centre.
+	all  []int
+	byDC map[string][]int
+}
+
+// newDivision divides a pool into count shards.
+func newDivision(pool string, count int, usable *mplist.Usable) *division {
+	d := &division{pool: pool, count: count, numbers: map[string]int{}, byDC: map[string][]int{}}
+	// Upstreams that are leaving or out of service count too, so that queues do not move with
+	// them.
+	numbers := assign(usable.Listed(pool), count)
+	for _, r := range usable.Rows(pool) {
+		n := numbers[r]
+		d.numbers[r.Address] = n
+		d.all = append(d.all, n)
+		d.byDC[r.DC] = append(d.byDC[r.DC], n)
+	}
+	return d
+}
+
+// choose returns the shard for a job of a request: one with upstreams in the preferred data
+// centre, if there are any, in proportion to their number.
+func (d *division) choose(request, dc string) shard {
+	numbers := d.byDC[dc]
+	if len(numbers) == 0 {
+		numbers = d.all
+	}
+	s := shard{pool: d.pool, count: d.count}
+	if len(numbers) > 0 {
+		s.number = numbers[xxhash.Sum64String(request)%uint64(len(numbers))]
+	}
+	return s
+}
+
+// ofMaker returns the shard of the upstream at address. Any will do for one that is no longer
+// usable: none counts its results.
+func (d *division) ofMaker(address string) shard {
+	return shard{pool: d.pool, number: d.numbers[address], count: d.count}
+}
+
+// upstreams returns the usable upstreams of s.
+func (s shard) upstreams(usable *mplist.Usable) []mplist.Row {
+	numbers := assign(usable.Listed(s.pool), s.count)
+	return slices.DeleteFunc(slices.Clone(usable.Rows(s.pool)), func(r mplist.Row) bool { return numbers[r] != s.number })
 }
 
 // rankKey is the key by which VMs are ranked as owners of s. An undivided pool is ranked by
--- a/core/version/mplist/mplist.go
+++ b/core/version/mplist/mplist.go
@@ -124,13 +124,16 @@
 type Usable struct {
 	list  *List
 	pools map[string][]Row
+	// listed holds all upstreams, by pool.
+	listed map[string][]Row
 }
 
 // Usable returns the upstreams that may get new work. It excludes upstreams that
 // are leaving or whose data centre is out of service according to isOut.
 func (l *List) Usable(isOut func(dc string) bool) *Usable {
-	u := &Usable{list: l, pools: map[string][]Row{}}
+	u := &Usable{list: l, pools: map[string][]Row{}, listed: map[string][]Row{}}
 	for _, r := range l.Rows() {
+		u.listed[r.Pool] = append(u.listed[r.Pool], r)
 		if !r.Leaving && !isOut(r.DC) {
 			u.pools[r.Pool] = append(u.pools[r.Pool], r)
 		}
@@ -146,6 +149,15 @@
 	return u.pools[pool]
 }
 
+// Listed returns all upstreams of a pool, also those that may get no new work. The caller must
+// not modify them.
+func (u *Usable) Listed(pool string) []Row {
+	if u == nil {
+		return nil
+	}
+	return u.listed[pool]
+}
+
 // ColdUntil returns when the upstream of row stops being cold; the zero time
 // when it is warm.
 func (u *Usable) ColdUntil(row Row) time.Time { return u.list.ColdUntil(row) }
