--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -7,12 +7,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mptime"
@@ -27,6 +30,11 @@
 const (
 	renewTimeout = 1500 * time.Millisecond
 	retryDelay   = 50 * time.Millisecond
+	// maxRetryDelay is short beside an election, after which VMs should find the leader soon.
+	maxRetryDelay = 400 * time.Millisecond
+	// maxTimeoutDoublings limits how often the timeout doubles for a leader that is slow to
+	// answer, as it is after all VMs have started together.
+	maxTimeoutDoublings = 2
 	// failuresPerLog limits the log lines while renewals keep failing.
 	failuresPerLog = 20
 )
@@ -53,8 +61,9 @@
 	cfg   Config
 	lease mplease.Holder
 
-	// failures counts consecutive failed renewals; only Run uses it.
-	failures int
+	// failures counts consecutive failed renewals, timeouts those of them that the leader did not
+	// answer in time; only Run uses them.
+	failures, timeouts int
 
 	mu      sync.RWMutex
 	view    *mpview.View
@@ -125,17 +134,30 @@
 			next++
 		}
 		err := m.renew(ctx, address)
-		m.logRenewal(address, err)
+		m.recordRenewal(address, err)
 		if err != nil {
 			m.SetLeader(followUp(address, m.Leader(), err))
-			mptime.Sleep(ctx, retryDelay)
+			mptime.Sleep(ctx, backoff(m.failures, m.Leader() != "", rand.Float64()))
 		}
 	}
 }
 
-// logRenewal logs the first of several failed renewals, every failuresPerLog-th one
+// backoff returns how long to wait before the next renewal after a number of consecutive failed
+// ones. x is uniformly distributed over [0, 1) and spreads the VMs that lost the same leader.
+func backoff(failures int, leaderNamed bool, x float64) time.Duration {
+	if leaderNamed {
+		return retryDelay
+	}
+	d := min(retryDelay<<min(failures-1, 8), maxRetryDelay)
+	return d/2 + time.Duration(x*float64(d))
+}
+
+// timeout returns the timeout of the next renewal.
+func (m *Member) timeout() time.Duration { return renewTimeout << min(m.timeouts, maxTimeoutDoublings) }
+
+// recordRenewal counts failed renewals. It logs the first of several, every failuresPerLog-th one
 // after it, and the first renewal that succeeds again.
-func (m *Member) logRenewal(address string, err error) {
+func (m *Member) recordRenewal(address string, err error) {
 	switch {
 	case err != nil && m.failures%failuresPerLog == 0:
 		_ = level.Warn(m.cfg.Logger).Log("msg", "lease not renewed", "peer", address, "failures", m.failures+1, "err", err)
@@ -143,8 +165,11 @@
 		_ = level.Info(m.cfg.Logger).Log("msg", "lease regained", "peer", address, "failures", m.failures)
 	}
 	m.failures++
+	if status.Code(err) == codes.DeadlineExceeded {
+		m.timeouts++
+	}
 	if err == nil {
-		m.failures = 0
+		m.failures, m.timeouts = 0, 0
 	}
 }
 
@@ -175,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
 	sent := time.Now()
 	reply, err := peer.Renew(ctx, m.request())
--- a/core/connection/mpmember/mpmember_test.go
+++ b/core/connection/mpmember/mpmember_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
 )
@@ -28,3 +32,45 @@
 		check(t, followUp("10.0.0.5:1", "10.0.0.5:1", mperror.ErrOutcomeUnknown), "")
 	})
 }
+
+// Guards against VMs that ask again at a fixed interval: after the loss of their leader 191 of them
+// took the voters that elected the next one a large part of their processors.
+func TestBackoff(t *testing.T) {
+	for name, c := range map[string]struct {
+		failures int
+		named    bool
+		x        float64
+		want     time.Duration
+	}{
+		"the first failure":              {1, false, 0.5, retryDelay},
+		"the first failure, early":       {1, false, 0, retryDelay / 2},
+		"the third":                      {3, false, 0.5, 4 * retryDelay},
+		"after many":                     {100, false, 0.5, maxRetryDelay},
+		"a voter names another leader":   {100, true, 0.5, retryDelay},
+		"after many, as late as it gets": {100, false, 1, 3 * maxRetryDelay / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, backoff(c.failures, c.named, c.x)); diff != "" {
+				t.Errorf("delay (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against VMs that begin anew each time that a busy leader is late to answer, which adds to
+// what it is late with.
+func TestTimeoutGrowsWhileTheLeaderIsLate(t *testing.T) {
+	m := New(Config{Logger: log.NewNopLogger()})
+	late, refused := status.Error(codes.DeadlineExceeded, "late"), status.Error(codes.Unavailable, "refused")
+	for i, c := range []struct {
+		err  error
+		want time.Duration
+	}{
+		{refused, renewTimeout}, {late, 2 * renewTimeout}, {late, 4 * renewTimeout}, {late, 4 * renewTimeout}, {nil, renewTimeout},
+	} {
+		m.recordRenewal("leader", c.err)
+		if diff := cmp.Diff(c.want, m.timeout()); diff != "" {
+			t.Errorf("timeout after renewal %d (-want +got):\n%s", i+1, diff)
+		}
+	}
+}
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -18,6 +18,7 @@
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/process/mpreplica"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
@@ -33,15 +34,31 @@
 	minDriftMargin      = 50 * time.Millisecond
 	renewHoldDivisor    = 4
 	platformInterval    = time.Second
+	// settleTimePerVM is how long a change that is not urgent waits for others, for each VM, so
+	// that the leader answers at most one renewal in that time because of such changes.
+	settleTimePerVM = 2 * time.Millisecond
+	// listEncodingAge is how long an encoded list is sent to further VMs. The cold starts in it
+	// end that much later at the most.
+	listEncodingAge = 100 * time.Millisecond
 	// upstreamListInterval is short enough to leave VMs most of the notice that the
 	// platform gives before it drains an upstream.
 	upstreamListInterval = 700 * time.Millisecond
 	systemAccount        = "system"
 )
 
+// Replica is this voter's member of the replicated log.
+type Replica interface {
+	HasLease() bool
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	Status() mpreplica.Status
+	LeaderInfo() mpquorum.MemberInfo
+}
+
+var _ Replica = (*mpreplica.Replica)(nil)
+
 // Config holds the dependencies and settings of a Leader.
 type Config struct {
-	Replica      *mpreplica.Replica
+	Replica      Replica
 	StateMachine *mpstate.Machine
 	Logger       log.Logger
 	// LeaseDuration is the duration of the leases granted to VMs.
@@ -73,6 +90,10 @@
 	// closed and replaced when the list changes.
 	upstreamList        *mplist.List
 	upstreamListChanged chan struct{}
+	// encodedList is the list with hash encodedListHash as it was encoded at encodedListAt.
+	encodedList     []byte
+	encodedListHash uint64
+	encodedListAt   time.Time
 	// limitsChanged is closed and replaced when limits change.
 	limitsChanged chan struct{}
 	// lastUpstreamListRead is when the list was last requested, or zero while this voter
@@ -154,7 +175,7 @@
 	}
 	if hasStaleList(r, l.upstreamList) {
 		reply.Listed = l.upstreamList.Hash()
-		reply.Upstreams, err = l.upstreamList.Encode(time.Now())
+		reply.Upstreams, err = l.encodeList(time.Now())
 	}
 	if hasStaleLimits(r, l.limits) {
 		reply.Limits = mpwire.EncodeLimits(l.limits.Entries(time.Now()))
@@ -162,6 +183,16 @@
 	return reply, err
 }
 
+// encodeList returns the encoded list of upstreams. The caller holds l.mu.
+func (l *Leader) encodeList(now time.Time) ([]byte, error) {
+	if l.encodedListHash == l.upstreamList.Hash() && now.Sub(l.encodedListAt) < listEncodingAge {
+		return l.encodedList, nil
+	}
+	data, err := l.upstreamList.Encode(now)
+	l.encodedList, l.encodedListHash, l.encodedListAt = data, l.upstreamList.Hash(), now
+	return data, err
+}
+
 // mergeLimits adds the limits that a VM knows, and wakes waiting renewals if that changes any.
 func (l *Leader) mergeLimits(now time.Time, limits []*mpwire.Limit) {
 	if len(l.limits.Merge(now, mpwire.DecodeLimits(limits))) == 0 {
@@ -216,24 +247,42 @@
 }
 
 // waitForUpdate waits until the VM lacks a revision, the current list of upstreams or a limit,
-// for at most a quarter of the lease.
+// for at most a quarter of the lease. Changes that are not urgent are collected for a while.
 func (l *Leader) waitForUpdate(ctx context.Context, r *mpwire.RenewRequest) {
 	changed := l.cfg.StateMachine.Changed()
+	urgent, urgentChanged := l.cfg.StateMachine.Urgent()
 	l.mu.Lock()
 	list, listChanged, limitsChanged := l.upstreamList, l.upstreamListChanged, l.limitsChanged
 	l.mu.Unlock()
-	if l.cfg.StateMachine.View().Revision() != r.GetRevision() || hasStaleList(r, list) || hasStaleLimits(r, l.limits) {
+	if r.GetRevision() < max(urgent, 1) || hasStaleList(r, list) || hasStaleLimits(r, l.limits) {
 		return
 	}
-	t := time.NewTimer(l.cfg.LeaseDuration / renewHoldDivisor)
+	hold := l.cfg.LeaseDuration / renewHoldDivisor
+	t := time.NewTimer(hold)
 	defer t.Stop()
-	select {
-	case <-changed:
-	case <-listChanged:
-	case <-limitsChanged:
-	case <-t.C:
-	case <-ctx.Done():
+	if l.cfg.StateMachine.View().Revision() != r.GetRevision() {
+		changed = nil
+		t.Reset(l.settleTime(hold))
 	}
+	for {
+		select {
+		case <-changed:
+			changed = nil // A nil channel is never ready.
+			t.Reset(l.settleTime(hold))
+			continue
+		case <-urgentChanged:
+		case <-listChanged:
+		case <-limitsChanged:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		return
+	}
+}
+
+// settleTime returns how long changes that are not urgent are collected, at most hold.
+func (l *Leader) settleTime(hold time.Duration) time.Duration {
+	return min(time.Duration(l.cfg.StateMachine.View().Size())*settleTimePerVM, hold)
 }
 
 func (l *Leader) hasMinVoters() bool {
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -20,7 +20,9 @@
 	maxDeltas = 1024
 	// maxDeltaBytes bounds the memory for changes that VMs can fetch
 	// incrementally. A VM that is further behind gets the complete view.
-	maxDeltaBytes      = 4 << 20
+	maxDeltaBytes = 4 << 20
+	// maxViewLag is how many changes an encoded view may lack while only VMs joined and left.
+	maxViewLag         = 256
 	maxAuditRecords    = 20_000
 	maxRecordedResults = 5_000
 )
@@ -57,6 +59,10 @@
 	encodedRevision uint64
 	clockMs         int64
 	changed         chan struct{}
+	// urgentRevision is the revision of the newest change that isUrgent. urgentChanged is
+	// closed and replaced at the next one.
+	urgentRevision uint64
+	urgentChanged  chan struct{}
 }
 
 // New returns an empty state at revision 0.
@@ -67,6 +73,8 @@
 		resultByID: map[string]Result{},
 		claims:     newClaims(),
 		changed:    make(chan struct{}),
+
+		urgentChanged: make(chan struct{}),
 	}
 }
 
@@ -165,9 +173,27 @@
 	m.appendDelta(delta)
 	close(m.changed)
 	m.changed = make(chan struct{})
+	if isUrgent(c.Change.Op) {
+		m.urgentRevision = next.Revision()
+		close(m.urgentChanged)
+		m.urgentChanged = make(chan struct{})
+	}
 	return Result{Code: CodeDone, Revision: next.Revision()}
 }
 
+// isUrgent reports whether VMs need a change at once. One that joins, or whose lease has ended, is
+// not urgent: VMs cannot rely on who is up in any case, and after a loss of many VMs a change for
+// each of them would otherwise be sent to all the others one by one.
+func isUrgent(op mpview.Op) bool {
+	switch op := op.(type) {
+	case mpview.Join:
+		return op.VM.Leaving
+	case mpview.Leave:
+		return false
+	}
+	return true
+}
+
 // appendDelta keeps an encoded change for VMs that have not received it yet, and
 // drops the oldest ones beyond maxDeltas or maxDeltaBytes.
 func (m *Machine) appendDelta(delta []byte) {
@@ -229,6 +255,14 @@
 	return m.changed
 }
 
+// Urgent returns the revision of the newest change that VMs need at once, and a channel that is
+// closed at the next one.
+func (m *Machine) Urgent() (uint64, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.urgentRevision, m.urgentChanged
+}
+
 // ChangesSince returns the encoded changes after revision, and the revision that
 // they lead to. If the changes are no longer kept, or revision is 0 because the
 // VM has no view yet, it returns the complete encoded view instead. The caller
@@ -247,12 +281,16 @@
 	return m.encodeView()
 }
 
-// encodeView returns the complete view. It encodes each revision only once, so
-// that many VMs that start at the same time do not each cost an encoding.
+// encodeView returns the complete view, or one to which only changes that are not urgent were
+// made since, so that many VMs that start at the same time do not each cost an encoding.
 func (m *Machine) encodeView() ([][]byte, []byte, uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	at := m.view.Revision()
+	isRecent := m.encodedRevision >= m.urgentRevision && m.encodedRevision+1 >= m.firstDelta && at-m.encodedRevision <= maxViewLag
+	if m.encodedView != nil && isRecent {
+		return nil, m.encodedView, m.encodedRevision, nil
+	}
 	if m.encodedView == nil || m.encodedRevision != at {
 		data, err := json.Marshal(m.view)
 		if err != nil {
@@ -340,7 +378,9 @@
 	}
 	m.clockMs = w.ClockMs
 	m.orders = w.Orders
+	m.encodedView, m.urgentRevision = nil, w.View.Revision()
 	close(m.changed)
-	m.changed = make(chan struct{})
+	close(m.urgentChanged)
+	m.changed, m.urgentChanged = make(chan struct{}), make(chan struct{})
 	return nil
 }
--- a/core/version/mpstate/machine_test.go
+++ b/core/version/mpstate/machine_test.go
@@ -137,6 +137,82 @@
 	}
 }
 
+// Guards against a leader that encodes the whole view for each of many VMs that start together,
+// and against a VM that begins with a plan or a mark older than those in force.
+func TestEncodedViewLacksOnlyJoins(t *testing.T) {
+	join := func(name string) mpview.Op {
+		return mpview.Join{VM: mpview.VM{Name: name, Boot: 1, Address: "caller", Peer: "peer"}}
+	}
+	leaving := mpview.Join{VM: mpview.VM{Name: "vm1", Boot: 1, Address: "caller", Peer: "peer", Leaving: true}}
+	publish := mpview.Publish{Routing: mpview.Routing{Version: 2, Source: []byte(`{}`)}}
+	for name, c := range map[string]struct {
+		ops []mpview.Op
+		// lag is how many changes the encoded view may lack.
+		lag uint64
+	}{
+		"nothing":                    {nil, 0},
+		"a VM that joins":            {[]mpview.Op{join("vm2")}, 1},
+		"VMs that join and leave":    {[]mpview.Op{join("vm2"), mpview.Leave{VMs: []string{"vm2"}}}, 2},
+		"a VM that is about to stop": {[]mpview.Op{leaving}, 0},
+		"a plan":                     {[]mpview.Op{join("vm2"), publish}, 0},
+		"a plan before a join":       {[]mpview.Op{publish, join("vm2")}, 0},
+		"a mark":                     {[]mpview.Op{mpview.Mark{Target: mpview.TargetVM, Name: "vm1", Out: true}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			apply(t, m, testNowMs, Change{ID: "first", Change: mpview.Change{Op: join("vm1")}})
+			if _, _, _, err := m.ChangesSince(0); err != nil {
+				t.Fatal(err)
+			}
+			for i, op := range c.ops {
+				apply(t, m, testNowMs, Change{ID: fmt.Sprint(i), Change: mpview.Change{Op: op}})
+			}
+			_, full, at, err := m.ChangesSince(0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.lag, m.View().Revision()-at); diff != "" {
+				t.Errorf("changes that the view lacks (-want +got):\n%s", diff)
+			}
+			checkReaches(t, m, full, at)
+		})
+	}
+}
+
+// checkReaches fails unless the encoded view at a revision and the changes after it lead to the
+// view of m.
+func checkReaches(t *testing.T, m *Machine, full []byte, at uint64) {
+	t.Helper()
+	view := mpview.Empty()
+	if err := json.Unmarshal(full, view); err != nil {
+		t.Fatal(err)
+	}
+	changes, _, _, err := m.ChangesSince(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, data := range changes {
+		var c mpview.Change
+		if err := json.Unmarshal(data, &c); err != nil {
+			t.Fatal(err)
+		}
+		if view, err = view.ApplyUnchecked(c.Op); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := json.Marshal(m.View())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := json.Marshal(view)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), string(got)); diff != "" {
+		t.Errorf("view (-want +got):\n%s", diff)
+	}
+}
+
 func TestSnapshot(t *testing.T) {
 	m := New()
 	apply(t, m, testNowMs, Change{ID: "a", Who: "ana", Change: putClass("live", 100)})
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -96,6 +96,9 @@
 	return r, ok
 }
 
+// Size returns the number of VMs that are up.
+func (v *View) Size() int { return len(v.vms) }
+
 // VMs returns the VMs that are up, sorted by name.
 func (v *View) VMs() []VM {
 	names := slices.Sorted(maps.Keys(v.vms))
