--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -47,9 +48,6 @@
 	// commitTimeout is shorter than the time that operators wait before they try another VM.
 	commitTimeout = 900 * time.Millisecond
 	pruneInterval = 10 * time.Second
-	// fallbackListInterval is how often a VM without a lease reads the platform's list of
-	// upstreams. The platform can serve a few dozen reads per second for all VMs together.
-	fallbackListInterval = 2 * time.Second
 )
 
 // RetryBudget limits the retries to one pool, over all VMs.
@@ -128,9 +126,8 @@
 	mu      sync.Mutex
 	view    *mpview.View
 	budgets map[string]*mpbudget.Budget
-	// lastLease is when this VM was last known to have a lease. Only
-	// refreshListWithoutLease uses it.
-	lastLease time.Time
+	// fallback decides when this VM reads the list itself. Only refreshListWithoutLease uses it.
+	fallback fallbackReads
 }
 
 var _ mpproxy.RoutingState = (*Gateway)(nil)
@@ -308,7 +305,7 @@
 		}()
 	}
 	if g.cfg.CallerAddress != "" {
-		go mptime.Every(ctx, fallbackListInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
+		go mptime.Every(ctx, fallbackCheckInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
 		go mptime.Every(ctx, confirmInterval, func(now time.Time) {
 			if g.member.HasLease(now) {
 				g.origins.history.Confirm(now)
@@ -339,11 +336,8 @@
 // refreshListWithoutLease reads the platform's list of upstreams while this VM has no
 // lease and so gets no list from a leader.
 func (g *Gateway) refreshListWithoutLease(ctx context.Context, now time.Time) {
-	if g.member.HasLease(now) {
-		g.lastLease = now
-		return
-	}
-	if now.Sub(g.lastLease) < fallbackListInterval {
+	vms, upstreams := g.member.Current().Size(), len(g.List().Rows())
+	if g.Table() == nil || !g.fallback.isDue(now, g.member.HasLease(now), vms, upstreams, rand.Float64()) {
 		return
 	}
 	rows, err := g.cfg.Upstreams.List(ctx)
