--- a/core/process/mpstage/burst_test.go
+++ b/core/process/mpstage/burst_test.go
@@ -74,6 +74,8 @@
 	return address
 }
 
+func (c *sentCounter) CloseIdle() {}
+
 func (c *sentCounter) Free(_ context.Context, _ string, handles []string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -34,6 +35,10 @@
 	freeTimeout  = 500 * time.Millisecond
 )
 
+// ErrForeignAnswer is the error of a call whose answer belongs to another call. It wraps
+// mperror.ErrBadResponse.
+var ErrForeignAnswer = mperror.Wrap(mperror.ErrBadResponse, "answer to another call")
+
 // BatchClient runs calls to upstreams.
 type BatchClient interface {
 	// Run makes the pieces of one call.
@@ -42,6 +47,8 @@
 	AddressOf(handle string) string
 	// Free tells the upstream at address to free the given results.
 	Free(ctx context.Context, address string, handles []string) error
+	// CloseIdle closes the connections that no call uses.
+	CloseIdle()
 }
 
 // Quotas keeps the rates that upstreams set for all VMs together.
@@ -78,6 +85,8 @@
 	queues map[shard]*shardQueue
 	table  *mproute.Table
 	usable *mplist.Usable
+	// known holds the results that calls returned.
+	known *handleLedger
 }
 
 // shardQueue is the batcher of one shard and the lock that guards it.
@@ -94,7 +103,7 @@
 
 // NewOwner returns an Owner whose goroutines stop when ctx is done.
 func NewOwner(ctx context.Context, cfg OwnerConfig) *Owner {
-	return &Owner{cfg: cfg, ctx: ctx, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgStagesRefused), queues: map[shard]*shardQueue{}}
+	return &Owner{cfg: cfg, ctx: ctx, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgStagesRefused), queues: map[shard]*shardQueue{}, known: newHandleLedger()}
 }
 
 // Update replaces the plan and the upstreams that may get calls.
@@ -274,6 +283,14 @@
 	defer cancel()
 	out := q.owner.cfg.Client.Run(ctx, start, c)
 	now := q.owner.cfg.Clock()
+	if !q.owner.known.add(now, out.Items) {
+		out = mpbatch.Outcome{Status: mpbatch.Failed, Err: mperror.Wrap(ErrForeignAnswer, "it repeats results of an earlier call")}
+	}
+	if errors.Is(out.Err, ErrForeignAnswer) {
+		// The answer to this call may still arrive on the same connection.
+		q.owner.cfg.Client.CloseIdle()
+		q.owner.cfg.Metrics.Add("batch.foreign", 1)
+	}
 	q.owner.cfg.Metrics.Add("batch.calls", 1)
 	q.owner.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	q.owner.cfg.Metrics.ObserveDuration("batch", now.Sub(start))
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -61,6 +61,8 @@
 
 func (f *fakeClient) AddressOf(handle string) string { return strings.SplitN(handle, "@", 2)[0] }
 
+func (f *fakeClient) CloseIdle() {}
+
 func (f *fakeClient) Free(ctx context.Context, at string, handles []string) error {
 	if at == f.unresponsive {
 		<-ctx.Done()
