--- a/core/process/mpstage/fleet_test.go
+++ b/core/process/mpstage/fleet_test.go
@@ -173,9 +173,10 @@
 	return rest
 }
 
-// Guards against pools that are divided by the number of VMs: with a shard for each 32 of 191
-// VMs, the 18 upstreams in six data centres left two to a queue. Large results were made far from
-// their readers, and jobs waited at full upstreams while others were idle.
+// Guards against pools that are divided by the number of VMs, and into shards with a part of each
+// data centre: with a shard for each 32 of 191 VMs, the 18 upstreams in six data centres left two
+// to a queue. Large results were made far from their readers, and jobs waited at full upstreams
+// while others were idle.
 func TestLargeFleetMakesResultsNearTheirReaders(t *testing.T) {
 	const (
 		maxElsewhere = 0.1
