--- a/core/process/mplead/fleet_test.go
+++ b/core/process/mplead/fleet_test.go
@@ -44,7 +44,7 @@
 func (soleVoter) HasLease() bool { return true }
 
 func (v soleVoter) Propose(_ context.Context, command []byte) ([]byte, error) {
-	time.Sleep(commitTime)
+	<-time.After(commitTime)
 	return v.machine.Apply(0, command), nil
 }
 
@@ -100,7 +100,7 @@
 			return
 		}
 		h.processor <- struct{}{}
-		time.Sleep(replyCost + encodingCost(h.views, reply.GetView(), viewCost) + encodingCost(h.lists, reply.GetUpstreams(), listCost))
+		<-time.After(replyCost + encodingCost(h.views, reply.GetView(), viewCost) + encodingCost(h.lists, reply.GetUpstreams(), listCost))
 		<-h.processor
 		h.replies.Add(1)
 		if r.GetRevision() == 0 {
@@ -111,7 +111,7 @@
 		if reply.GetListed() != 0 {
 			r.Listed = reply.GetListed()
 		}
-		time.Sleep(renewPause)
+		<-time.After(renewPause)
 	}
 }
 
@@ -128,7 +128,7 @@
 		done := make(chan struct{})
 		for i := range fleetVMs {
 			go func() {
-				time.Sleep(time.Duration(i) * fleetStart / fleetVMs)
+				<-time.After(time.Duration(i) * fleetStart / fleetVMs)
 				h.run(ctx, fmt.Sprint("vm", i), started)
 				done <- struct{}{}
 			}()
--- a/core/process/mpstage/move_test.go
+++ b/core/process/mpstage/move_test.go
@@ -67,7 +67,7 @@
 							t.Errorf("job %s: %d results: %v", spec.Request, len(results), err)
 						}
 					})
-					time.Sleep(jobInterval)
+					<-time.After(jobInterval)
 				}
 				wg.Wait()
 				if after := router.division("first").count; after == before {
