--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpflate"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mppeer"
@@ -35,6 +36,8 @@
 	// maxTimeoutDoublings limits how often the timeout doubles for a leader that is slow to
 	// answer, as it is after all VMs have started together.
 	maxTimeoutDoublings = 2
+	// maxUnpackedBytes bounds a view and a list of upstreams.
+	maxUnpackedBytes = 64 << 20
 	// failuresPerLog limits the log lines while renewals keep failing.
 	failuresPerLog = 20
 )
@@ -65,6 +68,9 @@
 	// answer in time; only Run uses them.
 	failures, timeouts int
 
+	// lacksList is set if the changes of the list could not be applied; only Run uses it.
+	lacksList bool
+
 	mu      sync.RWMutex
 	view    *mpview.View
 	list    *mplist.List
@@ -212,7 +218,7 @@
 		return mperror.ErrNotLeader
 	}
 	m.SetLeader(address)
-	if err := m.updateList(reply); err != nil {
+	if err := m.updateList(time.Now(), reply); err != nil {
 		return err
 	}
 	hasLimits := m.mergeLimits(reply)
@@ -257,6 +263,10 @@
 		Voter:    m.cfg.Self.Voter,
 		Listed:   m.list.Hash(),
 		Holds:    true,
+		Packs:    true,
+	}
+	if m.lacksList {
+		r.Listed = 0
 	}
 	if m.cfg.Limits != nil {
 		r.Limits, r.Limited = mpwire.EncodeLimits(m.cfg.Limits.Entries(time.Now())), m.cfg.Limits.Hash()
@@ -275,24 +285,56 @@
 }
 
 // updateList replaces the list of upstreams with the one in a renewal reply, if any.
-func (m *Member) updateList(reply *mpwire.RenewReply) error {
-	if len(reply.GetUpstreams()) == 0 {
-		return nil
-	}
-	now := time.Now()
-	list, err := mplist.Decode(now, reply.GetUpstreams(), reply.GetListed())
-	if err != nil {
+func (m *Member) updateList(now time.Time, reply *mpwire.RenewReply) error {
+	list, err := m.decodeList(now, reply)
+	m.lacksList = err != nil
+	if err != nil || list == nil {
 		return err
 	}
 	m.SetList(now, list)
 	return nil
 }
 
+// decodeList returns the list of upstreams in a renewal reply, or nil if it has none.
+func (m *Member) decodeList(now time.Time, reply *mpwire.RenewReply) (*mplist.List, error) {
+	switch {
+	case len(reply.GetPatch()) > 0:
+		data, err := mpflate.Unpack(reply.GetPatch(), maxUnpackedBytes)
+		if err != nil {
+			return nil, err
+		}
+		patch, err := mplist.DecodePatch(data)
+		if err != nil {
+			return nil, err
+		}
+		m.mu.RLock()
+		list := m.list
+		m.mu.RUnlock()
+		return list.Apply(now, patch, reply.GetListed())
+	case len(reply.GetPacked()) > 0:
+		data, err := mpflate.Unpack(reply.GetPacked(), maxUnpackedBytes)
+		if err != nil {
+			return nil, err
+		}
+		return mplist.Decode(now, data, reply.GetListed())
+	case len(reply.GetUpstreams()) > 0:
+		return mplist.Decode(now, reply.GetUpstreams(), reply.GetListed())
+	}
+	return nil, nil
+}
+
 // applyChanges applies the view or the changes in a renewal reply. The revision never
 // decreases: a view with a lower revision is an error.
 func (m *Member) applyChanges(reply *mpwire.RenewReply) error {
 	view := m.Current()
-	if fullView := reply.GetView(); len(fullView) > 0 {
+	fullView := reply.GetView()
+	if len(reply.GetPackedView()) > 0 {
+		var err error
+		if fullView, err = mpflate.Unpack(reply.GetPackedView(), maxUnpackedBytes); err != nil {
+			return mperror.Wrap(err, "view from leader")
+		}
+	}
+	if len(fullView) > 0 {
 		next := mpview.Empty()
 		if err := json.Unmarshal(fullView, next); err != nil {
 			return mperror.Wrap(err, "decode view from leader")
--- a/core/connection/mpmember/mpmember_test.go
+++ b/core/connection/mpmember/mpmember_test.go
@@ -10,6 +10,9 @@
 	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/common/mpflate"
+	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/version/mplist"
 )
 
 // TestFollowUp guards against a VM that never finds the leader. After a power loss of
@@ -74,3 +77,47 @@
 		}
 	}
 }
+
+// Guards against a VM that keeps a list to which the leader's changes do not apply: it has to ask for
+// the whole one.
+func TestChangesOfAnotherList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	row := func(id string) mplist.Row { return mplist.Row{ID: id, Pool: "p", Address: id} }
+	before, next := mplist.New(now, []mplist.Row{row("a")}), mplist.New(now, []mplist.Row{row("a"), row("b")})
+	patch, _ := next.PatchFrom(before)
+	data, err := patch.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply := &mpwire.RenewReply{Listed: next.Hash(), Patch: mpflate.Pack(data)}
+	whole, err := next.Encode(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		list *mplist.List
+		// listed is what the next renewal says that the VM has.
+		listed uint64
+	}{
+		"the list before": {before, next.Hash()},
+		"another list":    {mplist.New(now, []mplist.Row{row("c")}), 0},
+		"no list":         {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(Config{})
+			m.list = c.list
+			if err := m.updateList(now, reply); (err != nil) != (c.listed == 0) {
+				t.Errorf("changes applied: %v", err)
+			}
+			if diff := cmp.Diff(c.listed, m.request().GetListed()); diff != "" {
+				t.Errorf("list in the next renewal (-want +got):\n%s", diff)
+			}
+			if err := m.updateList(now, &mpwire.RenewReply{Listed: next.Hash(), Packed: mpflate.Pack(whole)}); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(next.Hash(), m.request().GetListed()); diff != "" {
+				t.Errorf("list after the whole one (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/process/mplead/fleet_test.go
+++ b/core/process/mplead/fleet_test.go
@@ -1,6 +1,7 @@
 package mplead
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync/atomic"
@@ -74,33 +75,46 @@
 	if err := h.leader.proposeChange(t.Context(), mpview.Publish{Routing: mpview.Routing{Version: 1, Source: []byte(`{}`)}}); err != nil {
 		t.Fatal(err)
 	}
+	h.leader.upstreamList = mplist.New(time.Now(), fleetRows())
+	return h
+}
+
+func fleetRows() []mplist.Row {
 	rows := make([]mplist.Row, fleetUpstreams)
 	for i := range rows {
-		rows[i] = mplist.Row{ID: fmt.Sprint("i-", i), Pool: fmt.Sprint("pool", i%5), Address: fmt.Sprint("10.0.0.1:", i+1), DC: fmt.Sprint("dc", i%6), Slots: 1}
+		rows[i] = mplist.Row{ID: fmt.Sprint("i-", i), Pool: fmt.Sprint("pool", i%5), Address: fmt.Sprint("10.0.0.1:", i+1), DC: fmt.Sprint("dc", i%6), Slots: 1, Version: "v1"}
 	}
-	h.leader.upstreamList = mplist.New(time.Now(), rows)
-	return h
+	return rows
+}
+
+// pointer identifies data; it is nil if there is none.
+func pointer(data []byte) *byte {
+	if len(data) == 0 {
+		return nil
+	}
+	return &data[0]
 }
 
-// encodingCost returns the cost of data if it was encoded for this reply.
-func encodingCost(seen map[*byte]bool, data []byte, cost time.Duration) time.Duration {
-	if len(data) == 0 || seen[&data[0]] {
+// encodingCost returns the cost of data that was not seen before.
+func encodingCost(seen map[*byte]bool, data *byte, cost time.Duration) time.Duration {
+	if data == nil || seen[data] {
 		return 0
 	}
-	seen[&data[0]] = true
+	seen[data] = true
 	return cost
 }
 
 // run renews the lease of one VM until ctx ends.
 func (h *herd) run(ctx context.Context, name string, started time.Time) {
-	r := &mpwire.RenewRequest{Vm: name, Boot: 1, Dc: "dc", Address: name, Peer: name, Holds: true}
+	r := &mpwire.RenewRequest{Vm: name, Boot: 1, Dc: "dc", Address: name, Peer: name, Holds: true, Packs: true}
 	for ctx.Err() == nil {
 		reply, err := h.leader.Renew(ctx, r)
 		if err != nil || ctx.Err() != nil {
 			return
 		}
 		h.processor <- struct{}{}
-		<-time.After(replyCost + encodingCost(h.views, reply.GetView(), viewCost) + encodingCost(h.lists, reply.GetUpstreams(), listCost))
+		<-time.After(replyCost + encodingCost(h.views, cmp.Or(pointer(reply.GetView()), pointer(reply.GetPackedView())), viewCost) +
+			encodingCost(h.lists, cmp.Or(pointer(reply.GetUpstreams()), pointer(reply.GetPacked())), listCost))
 		<-h.processor
 		h.replies.Add(1)
 		if r.GetRevision() == 0 {
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -41,9 +41,6 @@
 	// settleTimePerVM is how long a change that is not urgent waits for others, for each VM, so
 	// that the leader answers at most one renewal in that time because of such changes.
 	settleTimePerVM = 2 * time.Millisecond
-	// listEncodingAge is how long an encoded list is sent to further VMs. The cold starts in it
-	// end that much later at the most.
-	listEncodingAge = 100 * time.Millisecond
 	// upstreamListInterval is short enough to leave VMs most of the notice that the
 	// platform gives before it drains an upstream.
 	upstreamListInterval = 700 * time.Millisecond
@@ -94,10 +91,7 @@
 	// closed and replaced when the list changes.
 	upstreamList        *mplist.List
 	upstreamListChanged chan struct{}
-	// encodedList is the list with hash encodedListHash as it was encoded at encodedListAt.
-	encodedList     []byte
-	encodedListHash uint64
-	encodedListAt   time.Time
+	encodings           encodings
 	// limitsChanged is closed and replaced when limits change.
 	limitsChanged chan struct{}
 	// lastUpstreamListRead is when the list was last requested, or zero while this voter
@@ -182,9 +176,12 @@
 	if r.GetHolds() {
 		reply.HeldMs = mptime.Millis(now.Sub(receivedAt))
 	}
+	if len(view) > 0 && r.GetPacks() {
+		reply.View, reply.PackedView = nil, l.encodings.packView(view)
+	}
 	if hasStaleList(r, l.upstreamList) {
 		reply.Listed = l.upstreamList.Hash()
-		reply.Upstreams, err = l.encodeList(now)
+		err = l.encodings.addList(now, reply, r, l.upstreamList)
 	}
 	if hasStaleLimits(r, l.limits) {
 		reply.Limits = mpwire.EncodeLimits(l.limits.Entries(now))
@@ -192,16 +189,6 @@
 	return reply, err
 }
 
-// encodeList returns the encoded list of upstreams. The caller holds l.mu.
-func (l *Leader) encodeList(now time.Time) ([]byte, error) {
-	if l.encodedListHash == l.upstreamList.Hash() && now.Sub(l.encodedListAt) < listEncodingAge {
-		return l.encodedList, nil
-	}
-	data, err := l.upstreamList.Encode(now)
-	l.encodedList, l.encodedListHash, l.encodedListAt = data, l.upstreamList.Hash(), now
-	return data, err
-}
-
 // mergeLimits adds the limits that a VM knows, and wakes waiting renewals if that changes any.
 func (l *Leader) mergeLimits(now time.Time, limits []*mpwire.Limit) {
 	if len(l.limits.Merge(now, mpwire.DecodeLimits(limits))) == 0 {
@@ -416,6 +403,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed := next.Hash() != l.upstreamList.Hash()
+	if changed {
+		l.encodings.keep(l.upstreamList)
+	}
 	l.upstreamList = next
 	if changed {
 		level.Info(l.cfg.Logger).Log("msg", "list of upstreams changed", "rows", len(rows), "hash", next.Hash())
--- a/core/version/mplist/mplist.go
+++ b/core/version/mplist/mplist.go
@@ -54,9 +54,9 @@
 // hash returns a non-zero hash of rows. The remaining cold-start time changes
 // with each read of the list, so only whether an upstream is cold is hashed.
 func hash(rows []Row) uint64 {
-	normalized := slices.Clone(rows)
-	for i := range normalized {
-		normalized[i].ColdMs = min(normalized[i].ColdMs, 1)
+	var normalized []Row // Stays nil for an empty list, whichever way it came about.
+	for _, r := range rows {
+		normalized = append(normalized, r.withoutColdTime())
 	}
 	data, err := msgpack.Marshal(normalized)
 	if err != nil {
