--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -46,7 +46,7 @@
 	Local  *Owner
 	Client *mppeer.Client
 	View   func() *mpview.View
-	// Table returns the plan in force, or nil.
+	// Table returns the plan in force. There is one whenever there are jobs.
 	Table func() *mproute.Table
 	// Usable returns the upstreams that may get new work.
 	Usable func() *mplist.Usable
