--- a/core/request/mpbatch/batcher.go
+++ b/core/request/mpbatch/batcher.go
@@ -150,7 +150,7 @@
 	switch out.Status {
 	case Answered:
 		s.failures = 0
-		s.observeDuration(now, now.Sub(c.started), b.cfg.Spec.CallDuration(len(c.jobs)))
+		s.observeDuration(now.Sub(c.started), b.cfg.Spec.CallDuration(len(c.jobs)))
 	case Refused:
 		s.backoffUntil = now.Add(refusedBackoff)
 	case Deferred:
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -12,8 +12,6 @@
 	// wait for an upstream in its preferred data centre, since such traffic is slow and
 	// costly.
 	largeTransferBytes = 100_000
-	// slowUpstreamFactor is from how much longer calls an upstream counts as slow beside another.
-	slowUpstreamFactor = 1.5
 )
 
 // duplicateOverdue queues the unfinished pieces of overdue calls again, so that other
@@ -57,7 +55,7 @@
 			idle = s
 		}
 	}
-	if idle == nil || b.shouldAwaitFaster(now, idle, j) || idle.upstream.DC != j.preferredDC() && b.shouldAwaitPreferredDC(now, j) {
+	if idle == nil || idle.upstream.DC != j.preferredDC() && b.shouldAwaitPreferredDC(now, j) {
 		return nil
 	}
 	b.lastCallID++
@@ -92,31 +90,6 @@
 	return false
 }
 
-// shouldAwaitFaster reports whether the next piece of j should wait for a busy upstream that makes it
-// sooner than the idle one, which is slow. The piece reserves a place in the next call to that
-// upstream, so that what the others cannot take goes to slow ones.
-func (b *Batcher) shouldAwaitFaster(now time.Time, idle *upstreamState, j *Job) bool {
-	slowdown := idle.currentSlowdown(now)
-	if slowdown < slowUpstreamFactor {
-		return false
-	}
-	here := time.Duration(float64(b.cfg.Spec.CallDuration(1)) * slowdown)
-	for _, s := range b.upstreams {
-		if !s.listed || s.call == nil || s.call.duplicated || s.currentSlowdown(now)*slowUpstreamFactor > slowdown {
-			continue
-		}
-		if b.reserved[s.upstream.ID] >= b.cfg.Spec.MaxPieces || !b.hasMemory(now, s, j) {
-			continue
-		}
-		wait := max(s.call.remaining(now), s.deferredUntil.Sub(now))
-		if wait+b.callDuration(s, b.cfg.Spec.MaxPieces) < here {
-			b.reserved[s.upstream.ID]++
-			return true
-		}
-	}
-	return false
-}
-
 // hasMemory reports whether s has memory for one more result of j. An upstream without
 // results accepts any size, so that a result larger than the whole memory is still
 // tried. A job that exceeds the shares of all upstreams together may fill their
@@ -133,7 +106,7 @@
 	if (s.upstream.DC == j.preferredDC()) != (other.upstream.DC == j.preferredDC()) {
 		return s.upstream.DC == j.preferredDC()
 	}
-	if s.slowdown > slowUpstreamFactor*other.slowdown || other.slowdown > slowUpstreamFactor*s.slowdown {
+	if s.slowdown > 1.5*other.slowdown || other.slowdown > 1.5*s.slowdown {
 		return s.slowdown < other.slowdown
 	}
 	return s.usedBytes < other.usedBytes
--- a/core/request/mpbatch/upstream.go
+++ b/core/request/mpbatch/upstream.go
@@ -30,9 +30,6 @@
 	// slowdownWeight is the weight of the latest call in the moving average slowdown.
 	slowdownWeight = 0.3
 	maxSlowdown    = 8.0
-	// slowdownMemory is how long a slow upstream without calls counts as slow: it may have
-	// recovered, and only a call tells.
-	slowdownMemory = 3 * time.Second
 )
 
 // upstreamState is what the Batcher knows about one upstream.
@@ -56,8 +53,6 @@
 	// slowdown is a moving average of the measured duration of a call divided by the
 	// configured one.
 	slowdown float64
-	// lastAnswer is when a call to the upstream last ended.
-	lastAnswer time.Time
 }
 
 // activeCall is a call that is running.
@@ -96,16 +91,7 @@
 	return b.cfg.Rate(s.upstream.ID)
 }
 
-// currentSlowdown returns the slowdown, or 1 if it was not measured for slowdownMemory.
-func (s *upstreamState) currentSlowdown(now time.Time) float64 {
-	if s.call == nil && now.Sub(s.lastAnswer) > slowdownMemory {
-		return 1
-	}
-	return s.slowdown
-}
-
-func (s *upstreamState) observeDuration(now time.Time, took, configured time.Duration) {
-	s.lastAnswer = now
+func (s *upstreamState) observeDuration(took, configured time.Duration) {
 	if configured <= 0 {
 		return
 	}
