--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -33,8 +33,12 @@
 	retryDelay   = 50 * time.Millisecond
 	// maxRetryDelay is short beside an election, after which VMs should find the leader soon.
 	maxRetryDelay = 400 * time.Millisecond
-	// maxTimeoutDoublings limits how often the timeout doubles for a leader that is slow to
-	// answer, as it is after all VMs have started together.
+	// retryDelayPerVM is added for each VM that may ask the same voters, and failuresPerDoubling
+	// is the number of failures after which the delay doubles.
+	retryDelayPerVM     = time.Millisecond
+	failuresPerDoubling = 8
+	// maxTimeoutDoublings limits how often the timeout of a VM that joins doubles, for a leader
+	// that is slow to answer since all VMs have started together.
 	maxTimeoutDoublings = 2
 	// maxUnpackedBytes bounds a view and a list of upstreams.
 	maxUnpackedBytes = 64 << 20
@@ -132,34 +136,56 @@
 
 // Run renews the lease until ctx ends.
 func (m *Member) Run(ctx context.Context) {
+	late := "" // The address that did not answer the last renewal in time.
 	for next := 0; ctx.Err() == nil; {
 		address := m.Leader()
 		if address == "" {
-			voters := m.leaderCandidates()
-			address = voters[next%len(voters)]
-			next++
+			address, next = nextCandidate(m.leaderCandidates(), next, late)
 		}
 		err := m.renew(ctx, address)
 		m.recordRenewal(address, err)
+		late = ""
 		if err != nil {
+			if status.Code(err) == codes.DeadlineExceeded {
+				late = address
+			}
 			m.SetLeader(followUp(address, m.Leader(), err))
-			mptime.Sleep(ctx, backoff(m.failures, m.Leader() != "", rand.Float64()))
+			mptime.Sleep(ctx, backoff(m.failures, m.Current().Size(), m.Leader() != "", rand.Float64()))
 		}
 	}
 }
 
+// nextCandidate returns the voter to ask, from the given position on, and the position after it. It
+// passes over the one that was late if there are others, since another one may know a new leader.
+func nextCandidate(voters []string, next int, late string) (address string, after int) {
+	address = voters[next%len(voters)]
+	if address == late && len(voters) > 1 {
+		next++
+		address = voters[next%len(voters)]
+	}
+	return address, next + 1
+}
+
 // backoff returns how long to wait before the next renewal after a number of consecutive failed
-// ones. x is uniformly distributed over [0, 1) and spreads the VMs that lost the same leader.
-func backoff(failures int, leaderNamed bool, x float64) time.Duration {
+// ones, in a fleet with the given number of VMs. x is uniformly distributed over [0, 1) and spreads
+// the VMs that lost the same leader.
+func backoff(failures, vms int, leaderNamed bool, x float64) time.Duration {
 	if leaderNamed {
 		return retryDelay
 	}
-	d := min(retryDelay<<min(failures-1, 8), maxRetryDelay)
+	d := max(retryDelay<<min(failures/failuresPerDoubling, 8), time.Duration(vms)*retryDelayPerVM)
+	d = min(d, maxRetryDelay)
 	return d/2 + time.Duration(x*float64(d))
 }
 
-// timeout returns the timeout of the next renewal.
-func (m *Member) timeout() time.Duration { return renewTimeout << min(m.timeouts, maxTimeoutDoublings) }
+// timeout returns the timeout of the next renewal. It does not grow for a VM that has a view: its
+// leader may have been replaced, and it must not miss the changes of the next one.
+func (m *Member) timeout() time.Duration {
+	if m.Current().Revision() > 0 {
+		return renewTimeout
+	}
+	return renewTimeout << min(m.timeouts, maxTimeoutDoublings)
+}
 
 // recordRenewal counts failed renewals. It logs the first of several, every failuresPerLog-th one
 // after it, and the first renewal that succeeds again.
