mpreplica, mpvoter: Report a lost quorum, and voters that do not find one

Callers and operators were refused for a minute, and no process wrote a line: a voter without a leader sends pre-votes, a voter with an empty disk probes seeds, and one that does not vote asks to be enrolled, all without a trace.

A voter that has had no leader for 3 s now logs it, and again every 10 s, with each other voter, when it was last heard and how far its log reaches. Voters that find no deployment or no leader to enroll with say so after 10 s. No decision changes.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -217,6 +217,9 @@
 		voter := g.voterService.Voter()
 		return voter != nil && voter.Replica().Status().Leading
 	})
+	if g.cfg.IsVoter {
+		g.publishVoterMetrics()
+	}
 	g.metrics.Gauge("quarantine.suspects", func() any { return g.quarantine.Count(mpquarantine.Suspect, mpquarantine.StrongSuspect) })
 	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
 	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
@@ -225,6 +228,28 @@
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
 }
 
+// publishVoterMetrics registers the gauges that show the health of this VM's voter and of
+// the quorum.
+func (g *Gateway) publishVoterMetrics() {
+	g.metrics.Gauge("voter", func() any { return g.voterService.Voter() != nil })
+	g.metrics.Gauge("voters", func() any {
+		if voter := g.voterService.Voter(); voter != nil {
+			return len(voter.Replica().Status().Members.Voters())
+		}
+		return 0
+	})
+	g.metrics.Gauge("quorum.lost", func() any {
+		voter := g.voterService.Voter()
+		if voter == nil {
+			return time.Duration(0)
+		}
+		if lostAt := voter.Replica().Status().LostAt; !lostAt.IsZero() {
+			return time.Since(lostAt)
+		}
+		return time.Duration(0)
+	})
+}
+
 // peer implements the RPCs that other VMs call.
 type peer struct {
 	*mpconsensus.Service
--- a/core/process/mpquorum/node.go
+++ b/core/process/mpquorum/node.go
@@ -173,6 +173,12 @@
 	return n.members().find(n.leaderID)
 }
 
+// HasLeader reports whether this member leads, or has heard a leader of its term within the
+// longest election timeout before now.
+func (n *Node) HasLeader(now time.Time) bool {
+	return n.role == leader || n.leaderID != 0 && now.Sub(n.lastLeaderContact) < 2*n.cfg.ElectionTimeout
+}
+
 // Members returns the latest membership in this member's log.
 func (n *Node) Members() Membership { return n.members() }
 
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -96,6 +96,8 @@
 	CommitIndex uint64              `json:"commit"`
 	LastIndex   uint64              `json:"last"`
 	Members     mpquorum.Membership `json:"members"`
+	// LostAt is since when this member has had no leader; zero if it has one.
+	LostAt time.Time `json:"lost,omitzero"`
 }
 
 // Replica runs one member of the replicated log.
@@ -117,7 +119,8 @@
 	hardState       mpquorum.HardState
 	lastPrune       time.Time
 	// lastLogged is the election state that was last logged.
-	lastLogged electionState
+	lastLogged  electionState
+	quorumWatch quorumWatch
 
 	mu         sync.RWMutex
 	status     Status
@@ -312,6 +315,7 @@
 }
 
 func (r *Replica) tick(now time.Time) error {
+	r.watchQuorum(now)
 	r.compact()
 	if err := r.prune(now); err != nil {
 		return err
@@ -373,6 +377,7 @@
 	var from mpquorum.MemberID
 	for _, m := range in.messages {
 		from = m.From
+		r.quorumWatch.record(now, m)
 		r.senderAddresses[from] = m.Address
 		acts, err := r.node.Step(now, mpquorum.Receive{Envelope: m})
 		if err != nil {
@@ -479,6 +484,7 @@
 		CommitIndex: r.node.CommitIndex(),
 		LastIndex:   r.node.LastIndex(),
 		Members:     r.node.Members(),
+		LostAt:      r.quorumWatch.lostAt,
 	}
 	r.mu.Lock()
 	r.status = s
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -29,6 +30,8 @@
 	probeInterval  = 100 * time.Millisecond
 	enrollInterval = 100 * time.Millisecond
 	enrollTimeout  = 2 * time.Second
+	// failureLogInterval limits the log lines while no deployment or leader is found.
+	failureLogInterval = 10 * time.Second
 	// confirmInterval is how often a voter checks that it is still a voter.
 	confirmInterval = 3 * time.Second
 )
@@ -87,11 +90,18 @@
 func discover(ctx context.Context, cfg Config) (uint64, error) {
 	t := time.NewTicker(probeInterval)
 	defer t.Stop()
+	started := time.Now()
+	loggedAt := started
 	for {
 		cluster, allAnswered := probeSeeds(ctx, cfg)
 		if cluster != 0 || allAnswered && cfg.ShouldBootstrap() {
 			return cluster, nil
 		}
+		if now := time.Now(); now.Sub(loggedAt) >= failureLogInterval {
+			loggedAt = now
+			_ = level.Warn(cfg.Logger).Log("msg", "no deployment found to join", "for", now.Sub(started), "seeds", strings.Join(cfg.Seeds(), ","),
+				"answered", allAnswered)
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -142,6 +152,8 @@
 	}
 	member := mpquorum.MemberInfo{Member: id.Member, VM: req.GetVm(), Address: req.GetAddress()}
 	isVoter := false
+	succeededAt := time.Now()
+	loggedAt := succeededAt
 	t := time.NewTimer(enrollInterval)
 	defer t.Stop()
 	for attempt := 0; ; attempt++ {
@@ -159,6 +171,13 @@
 			isVoter = done
 			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember(), "votes", isVoter)
 		}
+		now := time.Now()
+		if err == nil {
+			succeededAt = now
+		} else if now.Sub(succeededAt) >= failureLogInterval && now.Sub(loggedAt) >= failureLogInterval {
+			loggedAt = now
+			_ = level.Warn(cfg.Logger).Log("msg", "no leader found to enroll with", "for", now.Sub(succeededAt), "peer", target, "err", err)
+		}
 		delay := enrollInterval
 		if isVoter && err == nil {
 			delay = confirmInterval
