mpdisk: Show two ways in which a loss of power stops a voter or undoes what it saved

The store's file operations move behind an interface, so that tests can lose power and kill the process at each of them; the simulated disk tears writes by sector or length, and keeps or loses each name that its directory's sync did not cover.

A voter that was killed between a write and its sync, or between a rename and the sync of the directory, acts on what it finds at its restart, and a loss of power then undoes it: at worst the whole log, since its name was never durable.

--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"sort"
 
@@ -46,8 +45,11 @@
 // Store appends to the log in one data directory. It is not safe for concurrent
 // use, except that WriteSnapshot may run during Save.
 type Store struct {
-	dir  string
-	file *os.File
+	files files
+	dir   string
+	// path is that of the log file.
+	path string
+	file file
 	seq  uint64
 	size int64
 }
@@ -55,7 +57,7 @@
 // ReadIdentity returns the identity stored in dir, or false if there is none.
 func ReadIdentity(dir string) (Identity, bool, error) {
 	path := filepath.Join(dir, identityFile)
-	data, err := os.ReadFile(path)
+	data, err := osFiles{}.read(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return Identity{}, false, nil
 	}
@@ -79,20 +81,24 @@
 	if err != nil {
 		return mperror.Wrap(err, "encode identity")
 	}
-	if err := os.MkdirAll(dir, dirMode); err != nil {
+	if err := (osFiles{}).makeDir(dir); err != nil {
 		return mperror.Wrap(err, "create data directory")
 	}
-	return writeFileAtomic(filepath.Join(dir, identityFile), newFrame(payload))
+	return writeFileAtomic(osFiles{}, filepath.Join(dir, identityFile), newFrame(payload))
 }
 
 // Open reads the snapshot and log in dir and opens the log for appending.
 func Open(dir string) (*Store, RecoveredState, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
+	return open(osFiles{}, dir)
+}
+
+func open(files files, dir string) (*Store, RecoveredState, error) {
+	if err := files.makeDir(dir); err != nil {
 		return nil, RecoveredState{}, mperror.Wrap(err, "create data directory")
 	}
-	s := &Store{dir: dir}
+	s := &Store{files: files, dir: dir}
 	var l RecoveredState
-	if err := loadSnapshot(dir, &l); err != nil {
+	if err := s.loadSnapshot(&l); err != nil {
 		return nil, RecoveredState{}, err
 	}
 	if err := s.loadLog(&l); err != nil {
@@ -120,10 +126,10 @@
 		return err
 	}
 	if _, err := s.file.Write(frame); err != nil {
-		return mperror.Wrap(err, "append to %s", s.file.Name())
+		return mperror.Wrap(err, "append to %s", s.path)
 	}
 	if err := s.file.Sync(); err != nil {
-		return mperror.Wrap(err, "sync %s", s.file.Name())
+		return mperror.Wrap(err, "sync %s", s.path)
 	}
 	s.size += int64(len(frame))
 	return nil
@@ -136,7 +142,7 @@
 	if err != nil {
 		return mperror.Wrap(err, "encode snapshot")
 	}
-	return writeFileAtomic(s.snapPath(snap.Index), newFrame(payload))
+	return writeFileAtomic(s.files, s.snapPath(snap.Index), newFrame(payload))
 }
 
 // Rotate starts a new log file that holds hard and entries, which follow the
@@ -158,10 +164,10 @@
 
 func (s *Store) openNewLog(seq uint64, frame []byte) error {
 	path := filepath.Join(s.dir, fmt.Sprintf("log-%020d", seq))
-	if err := writeFileAtomic(path, frame); err != nil {
+	if err := writeFileAtomic(s.files, path, frame); err != nil {
 		return err
 	}
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	f, err := s.files.open(path)
 	if err != nil {
 		return mperror.Wrap(err, "open log")
 	}
@@ -169,6 +175,7 @@
 		_ = s.file.Close()
 	}
 	s.file = f
+	s.path = path
 	s.seq = seq
 	s.size = int64(len(frame))
 	return nil
@@ -176,15 +183,15 @@
 
 func (s *Store) removeObsolete(snapPath string) error {
 	for _, pattern := range []string{logPattern, snapPattern} {
-		paths, err := filepath.Glob(filepath.Join(s.dir, pattern))
+		paths, err := s.files.list(filepath.Join(s.dir, pattern))
 		if err != nil {
 			return mperror.Wrap(err, "list data directory")
 		}
 		for _, p := range paths {
-			if p == s.file.Name() || p == snapPath {
+			if p == s.path || p == snapPath {
 				continue
 			}
-			if err := os.Remove(p); err != nil {
+			if err := s.files.remove(p); err != nil {
 				return mperror.Wrap(err, "remove obsolete file")
 			}
 		}
@@ -192,12 +199,12 @@
 	return nil
 }
 
-func loadSnapshot(dir string, l *RecoveredState) error {
-	path, err := newestFile(dir, snapPattern)
+func (s *Store) loadSnapshot(l *RecoveredState) error {
+	path, err := s.newestFile(snapPattern)
 	if err != nil || path == "" {
 		return err
 	}
-	data, err := os.ReadFile(path)
+	data, err := s.files.read(path)
 	if err != nil {
 		return mperror.Wrap(err, "read snapshot")
 	}
@@ -212,7 +219,7 @@
 }
 
 func (s *Store) loadLog(l *RecoveredState) error {
-	path, err := newestFile(s.dir, logPattern)
+	path, err := s.newestFile(logPattern)
 	if err != nil {
 		return err
 	}
@@ -222,7 +229,7 @@
 	if _, err := fmt.Sscanf(filepath.Base(path), "log-%d", &s.seq); err != nil {
 		return mperror.Wrap(mperror.ErrCorrupt, "invalid log file name %s", path)
 	}
-	data, err := os.ReadFile(path)
+	data, err := s.files.read(path)
 	if err != nil {
 		return mperror.Wrap(err, "read log")
 	}
@@ -267,7 +274,7 @@
 }
 
 func (s *Store) openForAppend(path string, end int64, truncate bool) error {
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	f, err := s.files.open(path)
 	if err != nil {
 		return mperror.Wrap(err, "open log")
 	}
@@ -277,12 +284,13 @@
 		}
 	}
 	s.file = f
+	s.path = path
 	s.size = end
 	return nil
 }
 
-func newestFile(dir, pattern string) (string, error) {
-	paths, err := filepath.Glob(filepath.Join(dir, pattern))
+func (s *Store) newestFile(pattern string) (string, error) {
+	paths, err := s.files.list(filepath.Join(s.dir, pattern))
 	if err != nil {
 		return "", mperror.Wrap(err, "list data directory")
 	}
@@ -297,8 +305,8 @@
 
 // writeFileAtomic replaces the file at path. After a crash the file holds either
 // the old content or all of the new content.
-func writeFileAtomic(path string, data []byte) error {
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+func writeFileAtomic(files files, path string, data []byte) error {
+	f, err := files.create(path + tempSuffix)
 	if err != nil {
 		return mperror.Wrap(err, "create temporary file")
 	}
@@ -306,16 +314,8 @@
 	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return mperror.Wrap(err, "write %s", path)
 	}
-	if err := os.Rename(path+tempSuffix, path); err != nil {
+	if err := files.rename(path+tempSuffix, path); err != nil {
 		return mperror.Wrap(err, "rename temporary file")
 	}
-	return syncDir(filepath.Dir(path))
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return mperror.Wrap(err, "open directory")
-	}
-	return mperror.Wrap(errors.Join(d.Sync(), d.Close()), "sync directory %s", dir)
+	return files.syncDir(filepath.Dir(path))
 }
--- a/core/process/mpdisk/store_test.go
+++ b/core/process/mpdisk/store_test.go
@@ -30,7 +30,7 @@
 		}
 		sizes = append(sizes, s.LogSize())
 	}
-	name := s.file.Name()
+	name := s.path
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -109,7 +109,7 @@
 		if err := s.Save(nil, []mpquorum.Entry{large}); err != nil {
 			t.Fatal(err)
 		}
-		file := s.file.Name()
+		file := s.path
 		_ = s.Close()
 		editFile(t, file, func(data []byte) []byte {
 			clear(data[len(data)-3*sectorBytes:])
