mpdisk: Truncate a last record that was torn in any way

Callers saw: after a loss of power at all machines entries refused every request for good, the operator's read was not answered, and no change was accepted.

Cause: a record that was being written when power was lost was taken for corruption unless it lacked everything, or one whole run of 512 bytes of its payload. Supervise returns on ErrCorrupt, so that the voter never started again. Beside one lost disk, two such voters of five are enough to lose the quorum with all other disks whole.

Change: an invalid record is torn if no valid one begins anywhere after it. Each record is synced before the next is written, so what was synced and acknowledged before a good record is still refused when it is invalid; so is the first record of a compacted log, which is renamed into place after its sync.

Why it works: a torn record was never acknowledged, since Save had not returned, so dropping it breaks no promise, and a voter that drops it starts again.

--- a/core/process/mpdisk/frame.go
+++ b/core/process/mpdisk/frame.go
@@ -1,7 +1,6 @@
 package mpdisk
 
 import (
-	"bytes"
 	"encoding/binary"
 	"hash/crc32"
 
@@ -11,10 +10,7 @@
 	"mustardpost.org/core/process/mpquorum"
 )
 
-const (
-	headerBytes = 12
-	sectorBytes = 512
-)
+const headerBytes = 12
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
@@ -42,50 +38,31 @@
 	return append(frame, payload...)
 }
 
-type frameStatus uint8
-
-const (
-	frameValid frameStatus = iota
-	frameTorn
-	frameCorrupt
-)
-
-// readFrame returns the payload of the frame at the start of data and the size of
-// the frame including its header. Each frame is synced before the next one is
-// written, so only the last one can be torn, that is, truncated or with a sector
-// that was never written. Any other checksum failure means corruption.
-func readFrame(data []byte) ([]byte, int, frameStatus) {
+// readFrame returns the payload of the frame at the start of data and the size of the
+// frame including its header, or false if there is no complete and unchanged frame.
+func readFrame(data []byte) ([]byte, int, bool) {
 	if len(data) < headerBytes {
-		return nil, 0, frameTorn
+		return nil, 0, false
 	}
 	header := data[:headerBytes]
 	if crc32.Checksum(header[:8], castagnoli) != binary.LittleEndian.Uint32(header[8:]) {
-		if isZero(data) {
-			return nil, 0, frameTorn
-		}
-		return nil, 0, frameCorrupt
+		return nil, 0, false
 	}
-	size := int(binary.LittleEndian.Uint32(header))
-	if len(data)-headerBytes < size {
-		return nil, 0, frameTorn
+	size := uint64(binary.LittleEndian.Uint32(header))
+	if uint64(len(data)-headerBytes) < size {
+		return nil, 0, false
 	}
 	payload := data[headerBytes : headerBytes+size]
-	if crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(header[4:]) {
-		return payload, headerBytes + size, frameValid
-	}
-	if len(data) == headerBytes+size && hasZeroSector(payload) {
-		return nil, 0, frameTorn
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(header[4:]) {
+		return nil, 0, false
 	}
-	return nil, 0, frameCorrupt
-}
-
-func isZero(data []byte) bool {
-	return len(bytes.Trim(data, "\x00")) == 0
+	return payload, headerBytes + len(payload), true
 }
 
-func hasZeroSector(payload []byte) bool {
-	for start := 0; start+sectorBytes <= len(payload); start += sectorBytes {
-		if isZero(payload[start : start+sectorBytes]) {
+// hasFrame reports whether a valid frame begins anywhere in data.
+func hasFrame(data []byte) bool {
+	for ; len(data) >= headerBytes; data = data[1:] {
+		if _, _, ok := readFrame(data); ok {
 			return true
 		}
 	}
--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -1,7 +1,9 @@
 // Package mpdisk stores a member's log, vote and snapshot in one data directory.
-// Each write is one checksummed frame, synced before Save returns. Open truncates
-// a torn last frame. An invalid frame before the last one makes Open fail with
-// ErrCorrupt, since truncating there could drop an acknowledged entry.
+// Each write is one checksummed frame, synced before Save returns and before the next one
+// is written. So only the last frame can be torn by a loss of power, in any way: an invalid
+// frame that no valid one follows was not acknowledged, and Open truncates it. An invalid
+// frame that was synced makes Open fail with ErrCorrupt, since truncating there could drop
+// an acknowledged entry: one before a valid frame, or the first one of a compacted log.
 package mpdisk
 
 import (
@@ -25,6 +27,8 @@
 	tempSuffix   = ".part"
 	fileMode     = 0o600
 	dirMode      = 0o700
+	// firstLog is the sequence number of the log that a new directory begins with.
+	firstLog = 1
 )
 
 // Identity binds a data directory to a deployment and a member.
@@ -64,8 +68,8 @@
 	if err != nil {
 		return Identity{}, false, mperror.Wrap(err, "read %s", path)
 	}
-	payload, _, status := readFrame(data)
-	if status != frameValid {
+	payload, _, ok := readFrame(data)
+	if !ok {
 		return Identity{}, false, mperror.Wrap(mperror.ErrCorrupt, "%s", path)
 	}
 	var id Identity
@@ -208,8 +212,8 @@
 	if err != nil {
 		return mperror.Wrap(err, "read snapshot")
 	}
-	payload, _, status := readFrame(data)
-	if status != frameValid {
+	payload, _, ok := readFrame(data)
+	if !ok {
 		return mperror.Wrap(mperror.ErrCorrupt, "snapshot %s", path)
 	}
 	if err := msgpack.Unmarshal(payload, &l.Snapshot); err != nil {
@@ -224,7 +228,7 @@
 		return err
 	}
 	if path == "" {
-		return s.openNewLog(1, nil)
+		return s.openNewLog(firstLog, nil)
 	}
 	if _, err := fmt.Sscanf(filepath.Base(path), "log-%d", &s.seq); err != nil {
 		return mperror.Wrap(mperror.ErrCorrupt, "invalid log file name %s", path)
@@ -233,7 +237,9 @@
 	if err != nil {
 		return mperror.Wrap(err, "read log")
 	}
-	end, err := replayLog(path, data, l)
+	// A log that follows a compaction was renamed into place with its first frame synced.
+	isFirstSynced := s.seq > firstLog
+	end, err := replayLog(path, data, isFirstSynced, l)
 	if err != nil {
 		return err
 	}
@@ -241,17 +247,17 @@
 	return s.openForAppend(path, int64(end), l.TruncatedBytes > 0)
 }
 
-func replayLog(path string, data []byte, l *RecoveredState) (int, error) {
+// replayLog applies the frames in data to l and returns where the last valid one ends.
+func replayLog(path string, data []byte, isFirstSynced bool, l *RecoveredState) (int, error) {
 	offset := 0
 	for offset < len(data) {
-		payload, size, status := readFrame(data[offset:])
-		switch status {
-		case frameTorn:
+		payload, size, ok := readFrame(data[offset:])
+		if !ok {
+			if offset == 0 && isFirstSynced || hasFrame(data[offset+1:]) {
+				return 0, mperror.Wrap(mperror.ErrCorrupt,
+					"log %s, frame at byte %d of %d: remove the data directory to rejoin as a new member", path, offset, len(data))
+			}
 			return offset, nil
-		case frameCorrupt:
-			return 0, mperror.Wrap(mperror.ErrCorrupt,
-				"log %s, frame at byte %d of %d: remove the data directory to rejoin as a new member", path, offset, len(data))
-		case frameValid:
 		}
 		var b batch
 		if err := msgpack.Unmarshal(payload, &b); err != nil {
--- a/core/process/mpdisk/store_test.go
+++ b/core/process/mpdisk/store_test.go
@@ -12,6 +12,8 @@
 	"mustardpost.org/core/process/mpquorum"
 )
 
+const sectorBytes = 512
+
 func entry(index, term uint64, data string) mpquorum.Entry {
 	return mpquorum.Entry{Index: index, Term: term, Data: []byte(data)}
 }
@@ -139,6 +141,29 @@
 			editFile(t, file, flip)
 		}
 	})
+	t.Run("any changed byte in the first frame of a compacted log is corruption", func(t *testing.T) {
+		dir := t.TempDir()
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Rotate(1, mpquorum.HardState{Term: 3}, []mpquorum.Entry{entry(2, 1, "one")}); err != nil {
+			t.Fatal(err)
+		}
+		file, size := s.path, s.LogSize()
+		_ = s.Close()
+		for offset := range size {
+			flip := func(data []byte) []byte {
+				data[offset] ^= 0x40
+				return data
+			}
+			editFile(t, file, flip)
+			if _, _, err := Open(dir); !errors.Is(err, mperror.ErrCorrupt) {
+				t.Fatalf("byte %d changed: %v, want ErrCorrupt", offset, err)
+			}
+			editFile(t, file, flip)
+		}
+	})
 	t.Run("a changed snapshot is corruption", func(t *testing.T) {
 		dir := t.TempDir()
 		s, _, err := Open(dir)
