mpdisk: Sync what Open finds before a voter acts on it

What callers would see: configurations and evacuations that were acknowledged are gone after a loss of power, or the quorum does not come back.

Cause: a process that is killed between a write and its sync, or between a rename and the sync of the directory, leaves files as they were, but not durable. Open read them, and the voter voted and acknowledged on that state. Names are worse than records: the next record syncs the log's content, but nothing synced the directory until the next compaction, so a loss of power took the whole log, with all that was acknowledged since the restart.

Change: Open syncs the directory before it reads it, and the log after. It costs two syncs a start. Why it works: whatever Open returns is durable, so no later loss of power can undo it; what it does not return was never acted on.

--- a/core/process/mpdisk/crash_test.go
+++ b/core/process/mpdisk/crash_test.go
@@ -1,13 +1,13 @@
 package mpdisk
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
 	"mustardpost.org/core/common/mpseed"
@@ -146,7 +146,11 @@
 	return s.Entries[len(s.Entries)-1].Index
 }
 
-func (s diskState) equal(o diskState) bool { return cmp.Equal(s, o, cmpopts.EquateEmpty()) }
+func (s diskState) equal(o diskState) bool {
+	return s.Hard == o.Hard && s.Snap == o.Snap && slices.EqualFunc(s.Entries, o.Entries, func(a, b mpquorum.Entry) bool {
+		return a.Index == b.Index && a.Term == b.Term && bytes.Equal(a.Data, b.Data)
+	})
+}
 
 // TestCrashes guards against voters that forget what they acknowledged, or cannot start again:
 // a process that was killed between a write and its sync, or between a rename and the sync of
--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -91,7 +91,8 @@
 	return writeFileAtomic(osFiles{}, filepath.Join(dir, identityFile), newFrame(payload))
 }
 
-// Open reads the snapshot and log in dir and opens the log for appending.
+// Open reads the snapshot and log in dir and opens the log for appending. What it returns
+// is durable, also if the process that wrote it was killed before it had synced it.
 func Open(dir string) (*Store, RecoveredState, error) {
 	return open(osFiles{}, dir)
 }
@@ -100,6 +101,10 @@
 	if err := files.makeDir(dir); err != nil {
 		return nil, RecoveredState{}, mperror.Wrap(err, "create data directory")
 	}
+	// The names of the files may not be durable yet.
+	if err := files.syncDir(dir); err != nil {
+		return nil, RecoveredState{}, err
+	}
 	s := &Store{files: files, dir: dir}
 	var l RecoveredState
 	if err := s.loadSnapshot(&l); err != nil {
@@ -285,10 +290,13 @@
 		return mperror.Wrap(err, "open log")
 	}
 	if truncate {
-		if err := errors.Join(f.Truncate(end), f.Sync()); err != nil {
-			return mperror.Wrap(err, "truncate torn frame of %s", path)
+		if err := f.Truncate(end); err != nil {
+			return errors.Join(mperror.Wrap(err, "truncate torn frame of %s", path), f.Close())
 		}
 	}
+	if err := f.Sync(); err != nil {
+		return errors.Join(mperror.Wrap(err, "sync %s", path), f.Close())
+	}
 	s.file = f
 	s.path = path
 	s.size = end
