mpdisk: Refuse to write after a write that failed

What callers would see: a voter that never starts again after its disk was full, so that one more loss than allowed costs the quorum.

Cause: a write to a full disk may leave a part of its record. A later record after it turns that part from a torn last record into a damaged one before a good one, which is refused as corrupt. Replica stops at the first error that its own loop returns, but nothing in the store enforced that.

Change: Save and Rotate return the first error until the directory is opened again, which truncates the part.

--- a/core/process/mpdisk/crash_test.go
+++ b/core/process/mpdisk/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -113,6 +114,29 @@
 	}
 }
 
+// TestSaveAfterFailedSave guards against logs that are corrupt after a disk was full: a record
+// that followed a part of one that did not fit made that part look like a damaged record.
+func TestSaveAfterFailedSave(t *testing.T) {
+	for seed := range uint64(50) {
+		disk := newSimFiles(seed)
+		s, _, err := open(disk, "dir")
+		if err != nil {
+			t.Fatal(err)
+		}
+		disk.full = true
+		if err := s.Save(&mpquorum.HardState{Term: 1}, nil); !errors.Is(err, errNoSpace) {
+			t.Fatalf("Save on a full disk = %v, want %v", err, errNoSpace)
+		}
+		disk.full = false
+		if err := s.Save(&mpquorum.HardState{Term: 2}, nil); !errors.Is(err, errNoSpace) {
+			t.Errorf("Save after one that failed = %v, want %v", err, errNoSpace)
+		}
+		if _, _, err := open(disk, "dir"); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 // diskState is what a voter has saved, or has recovered and acts on.
 type diskState struct {
 	Hard    mpquorum.HardState
--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -56,6 +56,9 @@
 	file file
 	seq  uint64
 	size int64
+	// failed is the error of a Save that may have left a part of its frame, which a later
+	// frame would turn from a torn one into a corrupt one.
+	failed error
 }
 
 // ReadIdentity returns the identity stored in dir, or false if there is none.
@@ -125,20 +128,26 @@
 func (s *Store) LogSize() int64 { return s.size }
 
 // Save appends the hard state and the entries as one frame and syncs the log. An
-// entry whose index already exists replaces that entry and all later ones.
+// entry whose index already exists replaces that entry and all later ones. After an error
+// the directory must be opened again: Save and Rotate return that error from then on.
 func (s *Store) Save(hard *mpquorum.HardState, entries []mpquorum.Entry) error {
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
+	if s.failed != nil {
+		return s.failed
+	}
 	frame, err := encodeFrame(batch{HardState: hard, Entries: entries})
 	if err != nil {
 		return err
 	}
 	if _, err := s.file.Write(frame); err != nil {
-		return mperror.Wrap(err, "append to %s", s.path)
+		s.failed = mperror.Wrap(err, "append to %s", s.path)
+		return s.failed
 	}
 	if err := s.file.Sync(); err != nil {
-		return mperror.Wrap(err, "sync %s", s.path)
+		s.failed = mperror.Wrap(err, "sync %s", s.path)
+		return s.failed
 	}
 	s.size += int64(len(frame))
 	return nil
@@ -157,6 +166,9 @@
 // Rotate starts a new log file that holds hard and entries, which follow the
 // snapshot at index, and then removes older logs and snapshots.
 func (s *Store) Rotate(index uint64, hard mpquorum.HardState, entries []mpquorum.Entry) error {
+	if s.failed != nil {
+		return s.failed
+	}
 	frame, err := encodeFrame(batch{HardState: &hard, Entries: entries})
 	if err != nil {
 		return err
