mpreplica: Stop at a failed write, whoever caused it

Cause: a membership change that a joining member asked for returned the error of its write to that member, while the leader went on with an entry in memory that its disk lacked. It counted itself as holding that entry when it committed it, and its next record left a gap in its log, which was refused as corrupt at its next start: 'log entry 8 follows entry 6'. Then the process ends, and again at each restart.

Evidence: TestFailedWriteOfMembership fails before with that error and passes now. TestFullDisksInTurn fills the disks of five voters, or of whoever leads, for 0.3 to 7 s each, ten times, beside changes: all 8 cases passed before as well, so full disks alone are not enough; a member must join meanwhile.

Change: Replica remembers the error of a write and stops, whichever event caused it. The disk comes from an interface, so that tests can fill it.

--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -43,12 +43,23 @@
 	Send(address string, e mpquorum.Envelope)
 }
 
+// Store makes the state of a member durable. After an error it must not be used again, since
+// it may hold a part of what was written.
+type Store interface {
+	Save(hard *mpquorum.HardState, entries []mpquorum.Entry) error
+	WriteSnapshot(snap mpquorum.Snapshot) error
+	Rotate(index uint64, hard mpquorum.HardState, entries []mpquorum.Entry) error
+	LogSize() int64
+}
+
+var _ Store = (*mpdisk.Store)(nil)
+
 // Config holds the dependencies and settings of a Replica.
 type Config struct {
 	Self mpquorum.MemberID
 	// Address is this member's own peer address.
 	Address      string
-	Store        *mpdisk.Store
+	Store        Store
 	Recovered    mpdisk.RecoveredState
 	StateMachine StateMachine
 	Sender       Sender
@@ -117,6 +128,8 @@
 	isLeader        bool
 	isSnapshotting  bool
 	hardState       mpquorum.HardState
+	// diskErr is the error of a write, after which the state in memory is ahead of the disk.
+	diskErr error
 	lastPrune       time.Time
 	// lastLogged is the election state that was last logged.
 	lastLogged  electionState
@@ -184,6 +197,9 @@
 		case w := <-r.snapshotDone:
 			err = r.finishCompact(w)
 		}
+		if err == nil {
+			err = r.diskErr // Calls return their errors to their callers.
+		}
 		if err != nil {
 			r.abort(err)
 			return err
@@ -397,8 +413,11 @@
 // execute persists state, sends messages and applies entries, in that order. Messages
 // addressed to the member with ID to are returned instead of sent.
 func (r *Replica) execute(now time.Time, acts mpquorum.Actions, to mpquorum.MemberID) ([]mpquorum.Envelope, error) {
-	if err := r.persist(acts); err != nil {
-		return nil, err
+	if r.diskErr == nil {
+		r.diskErr = r.persist(acts)
+	}
+	if r.diskErr != nil {
+		return nil, r.diskErr
 	}
 	var replies []mpquorum.Envelope
 	for _, m := range acts.Messages {
