--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -116,9 +116,31 @@
 	if err := s.loadLog(&l); err != nil {
 		return nil, RecoveredState{}, err
 	}
+	if l.dropReplaced() {
+		frame, err := encodeFrame(batch{HardState: &l.HardState})
+		if err == nil {
+			err = s.openNewLog(s.seq+1, frame)
+		}
+		if err != nil {
+			return nil, RecoveredState{}, errors.Join(err, s.Close())
+		}
+	}
 	return s, l, nil
 }
 
+// dropReplaced removes the entries if the snapshot replaced the one at its index, and with it
+// all later ones. It reports whether it did. The log holds such entries if power was lost
+// between the writing of a received snapshot and that of the log after it.
+func (l *RecoveredState) dropReplaced() bool {
+	for _, e := range l.Entries {
+		if e.Index == l.Snapshot.Index && e.Term != l.Snapshot.Term {
+			l.Entries = nil
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the log file.
 func (s *Store) Close() error {
 	return s.file.Close()
--- a/core/process/mpdisk/store_test.go
+++ b/core/process/mpdisk/store_test.go
@@ -276,6 +276,49 @@
 	})
 }
 
+// TestOlderLogBesideSnapshot guards against committed entries that are lost after a loss of
+// power between the writing of a received snapshot and that of the log after it. The older log
+// may hold entries that the snapshot replaced; kept, they made this member vote for a
+// candidate that lacked what this member had acknowledged since.
+func TestOlderLogBesideSnapshot(t *testing.T) {
+	older := []mpquorum.Entry{entry(3, 2, "c"), entry(4, 2, "d"), entry(5, 2, "e"), entry(6, 2, "f")}
+	for name, c := range map[string]struct {
+		snapshot mpquorum.Snapshot
+		want     []mpquorum.Entry
+	}{
+		"the log ends before the snapshot":           {mpquorum.Snapshot{Index: 9, Term: 4}, older},
+		"the log has another entry at the snapshot":  {mpquorum.Snapshot{Index: 4, Term: 4}, nil},
+		"the log has the same entry at the snapshot": {mpquorum.Snapshot{Index: 4, Term: 2}, older},
+		"the log begins after the snapshot":          {mpquorum.Snapshot{Index: 2, Term: 1}, older},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			s, _, err := Open(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := errors.Join(s.Save(&mpquorum.HardState{Term: 3}, older), s.WriteSnapshot(c.snapshot), s.Close()); err != nil {
+				t.Fatal(err)
+			}
+			s, l, err := Open(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkEntries(t, l, c.want...)
+			if l.HardState.Term != 3 {
+				t.Errorf("term %d, want 3", l.HardState.Term)
+			}
+			// What follows the snapshot must not be dropped with the older entries later.
+			last := entry(c.snapshot.Index+1, 4, "acknowledged")
+			if err := errors.Join(s.Save(nil, []mpquorum.Entry{last}), s.Close()); err != nil {
+				t.Fatal(err)
+			}
+			l = mustOpen(t, dir)
+			checkEntries(t, RecoveredState{Entries: l.Entries[len(l.Entries)-1:]}, last)
+		})
+	}
+}
+
 func TestIdentity(t *testing.T) {
 	dir := t.TempDir()
 	if _, ok, err := ReadIdentity(dir); ok || err != nil {
