--- a/core/process/mpdisk/simfiles_test.go
+++ b/core/process/mpdisk/simfiles_test.go
@@ -22,9 +22,11 @@
 	// crashIn is the number of operations until the process is killed; 0 if it is not.
 	crashIn int
 	// full makes the disk take no more bytes.
-	full    bool
-	names   map[string]*simFile
-	durable map[string]*simFile
+	full bool
+	// beforeRename is called before each rename, if it is set.
+	beforeRename func()
+	names        map[string]*simFile
+	durable      map[string]*simFile
 	// pending are the changes of names since the directory was synced.
 	pending []func()
 }
@@ -167,6 +169,9 @@
 }
 
 func (d *simFiles) rename(from, to string) error {
+	if d.beforeRename != nil {
+		d.beforeRename()
+	}
 	d.operate()
 	f, ok := d.names[from]
 	if !ok {
--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -108,6 +108,9 @@
 	if err := files.syncDir(dir); err != nil {
 		return nil, RecoveredState{}, err
 	}
+	if err := removeUnfinished(files, dir); err != nil {
+		return nil, RecoveredState{}, err
+	}
 	s := &Store{files: files, dir: dir}
 	var l RecoveredState
 	if err := s.loadSnapshot(&l); err != nil {
@@ -128,6 +131,20 @@
 	return s, l, nil
 }
 
+// removeUnfinished removes the files that a process had not finished when it ended.
+func removeUnfinished(files files, dir string) error {
+	paths, err := files.list(filepath.Join(dir, "*"+tempSuffix))
+	if err != nil {
+		return mperror.Wrap(err, "list data directory")
+	}
+	for _, p := range paths {
+		if err := files.remove(p); err != nil {
+			return mperror.Wrap(err, "remove unfinished file")
+		}
+	}
+	return nil
+}
+
 // dropReplaced removes the entries if the snapshot replaced the one at its index, and with it
 // all later ones. It reports whether it did. The log holds such entries if power was lost
 // between the writing of a received snapshot and that of the log after it.
@@ -231,7 +248,8 @@
 			return mperror.Wrap(err, "list data directory")
 		}
 		for _, p := range paths {
-			if p == s.path || p == snapPath {
+			// An unfinished file may be a snapshot that is being written.
+			if p == s.path || p == snapPath || filepath.Ext(p) == tempSuffix {
 				continue
 			}
 			if err := s.files.remove(p); err != nil {
--- a/core/process/mpdisk/store_test.go
+++ b/core/process/mpdisk/store_test.go
@@ -319,6 +319,40 @@
 	}
 }
 
+// TestRotateDuringSnapshot guards against voters that step aside for no reason: the log was
+// rotated for a received snapshot while a compaction was writing its own, whose unfinished file
+// was removed, so that the compaction failed like a disk.
+func TestRotateDuringSnapshot(t *testing.T) {
+	disk := newSimFiles(1)
+	s, _, err := open(disk, "dir")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WriteSnapshot(mpquorum.Snapshot{Index: 3, Term: 1}); err != nil {
+		t.Fatal(err)
+	}
+	// The compaction has created its file when the snapshot at index 9 arrives.
+	disk.beforeRename = func() {
+		disk.beforeRename = nil
+		if err := errors.Join(s.WriteSnapshot(mpquorum.Snapshot{Index: 9, Term: 2}), s.Rotate(9, mpquorum.HardState{Term: 2}, nil)); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := s.WriteSnapshot(mpquorum.Snapshot{Index: 5, Term: 1}); err != nil {
+		t.Error(err)
+	}
+	_, l, err := open(disk, "dir")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.Snapshot.Index != 9 {
+		t.Errorf("snapshot %d, want 9", l.Snapshot.Index)
+	}
+	if parts, _ := disk.list(filepath.Join("dir", "*"+tempSuffix)); len(parts) > 0 {
+		t.Errorf("unfinished files left after a start: %v", parts)
+	}
+}
+
 func TestIdentity(t *testing.T) {
 	dir := t.TempDir()
 	if _, ok, err := ReadIdentity(dir); ok || err != nil {
