mpreplica: Remove a lost voter when the member that replaces it is about to vote

Cause: voters that were gone for good still counted. A lost one was removed only while the number of voters was even, and after 6 s. A data centre may be lost 4 s after a machine has replaced another one; then two of six voters were down and one was gone, and four were needed. Two machines replaced within 6 s left seven voters, an odd number, of which two were gone and none was ever removed.

Change: before a member of a new VM becomes a voter, the voter that has been silent longest, at least 1.5 s, is removed, if there are four voters or more and the others form a quorum. The number of voters then stays the same. While it is even, a lost voter is removed after 1.5 s instead of 6 s.

Why it works: a new VM joins to replace another one or beside the others. A voter that was removed although it was only away enrolls again, and then takes the place of the one that is gone. Each removal is committed by a quorum of the remaining voters, so nothing is lost. What remains: two planned replacements at once leave seven voters until others are replaced.

--- a/core/process/mpreplica/enroll.go
+++ b/core/process/mpreplica/enroll.go
@@ -11,21 +11,20 @@
 )
 
 // enroll advances member by one step towards being a voter. The member joins as a
-// learner. Once it has caught up with the log, older members of the same VM are removed,
-// and then it becomes a voter. enroll reports whether it is a voter already.
+// learner. Once it has caught up with the log, the voter that it replaces is removed, and
+// then it becomes a voter. enroll reports whether it is a voter already.
 func (r *Replica) enroll(now time.Time, member mpquorum.MemberInfo) (bool, error) {
 	if !r.node.IsLeader() {
 		return false, mperror.ErrNotLeader
 	}
 	members := r.node.Members()
-	var existing mpquorum.MemberInfo
-	var replaced mpquorum.MemberID
+	var existing, replaced mpquorum.MemberInfo
 	for _, s := range members.Seats {
 		switch {
 		case s.Member == member.Member:
 			existing = s
 		case s.VM == member.VM:
-			replaced = s.Member
+			replaced = s
 		}
 	}
 	switch {
@@ -36,40 +35,63 @@
 		return false, r.reconfigure(now, members.With(member))
 	case !r.node.CaughtUp(member.Member, maxPromotionLag):
 		return false, nil
-	case replaced != 0:
-		return false, r.reconfigure(now, members.Without(replaced))
+	}
+	if replaced.Member == 0 && !existing.Voter {
+		replaced, _ = findReplacedVoter(members, r.silenceAt(now))
+	}
+	if replaced.Member != 0 {
+		return false, r.remove(now, members, replaced)
 	}
 	member.Voter = true
 	return false, r.reconfigure(now, members.With(member))
 }
 
 const (
-	pruneInterval = time.Second
-	// lostVoterTimeout is how long a voter must be silent before it is permanently removed
-	// in favour of a replacement. It is much longer than a restart takes.
-	lostVoterTimeout = 6 * time.Second
+	pruneInterval = 250 * time.Millisecond
+	// lostVoterTimeout is how long a voter must be silent before it is removed in favour of
+	// another one. It is shorter than the time after which another machine may be lost, and
+	// may be shorter than a restart: a voter that was removed enrolls again.
+	lostVoterTimeout = 1500 * time.Millisecond
+	// minReplacedVoters is the number of voters from which a lost one is removed before the one
+	// that replaces it votes. With fewer, the quorum would bear no other loss in between.
+	minReplacedVoters = 4
 )
 
-// prune removes a permanently lost voter once another one has joined in its place.
-// Without this, each replaced machine would increase the quorum size.
+// prune removes a lost voter once another one has joined in its place. Without this, each
+// replaced machine would increase the quorum size.
 func (r *Replica) prune(now time.Time) error {
 	if !r.node.IsLeader() || now.Sub(r.lastPrune) < pruneInterval {
 		return nil
 	}
 	r.lastPrune = now
 	members := r.node.Members()
-	surplus, ok := findSurplusVoter(members, func(id mpquorum.MemberID) time.Duration {
+	surplus, ok := findSurplusVoter(members, r.silenceAt(now))
+	if !ok {
+		return nil
+	}
+	return r.remove(now, members, surplus)
+}
+
+func (r *Replica) remove(now time.Time, members mpquorum.Membership, s mpquorum.MemberInfo) error {
+	if !r.node.MembershipCommitted() {
+		return nil // One change at a time.
+	}
+	err := r.reconfigure(now, members.Without(s.Member))
+	if err == nil {
+		_ = level.Warn(r.cfg.Logger).Log("msg", "silent voter removed", "vm", s.VM, "member", uint64(s.Member),
+			"silent", r.silenceAt(now)(s.Member), "voters", len(members.Voters()))
+	}
+	return err
+}
+
+// silenceAt returns how long before now each member was last heard by this leader.
+func (r *Replica) silenceAt(now time.Time) func(mpquorum.MemberID) time.Duration {
+	return func(id mpquorum.MemberID) time.Duration {
 		if id == r.cfg.Self {
 			return 0
 		}
 		return now.Sub(r.node.LastContact(id))
-	})
-	if !ok {
-		return nil
 	}
-	level.Warn(r.cfg.Logger).Log("msg", "silent voter removed", "vm", surplus.VM, "member", uint64(surplus.Member),
-		"voters", len(members.Voters()))
-	return r.reconfigure(now, members.Without(surplus.Member))
 }
 
 // findSurplusVoter returns the voter that has been silent longest, if it is lost and the
@@ -77,8 +99,25 @@
 // number means that a replacement has joined. The reachable voters must be more than half
 // of all, so that they still form a quorum after the removal.
 func findSurplusVoter(m mpquorum.Membership, silenceOf func(mpquorum.MemberID) time.Duration) (mpquorum.MemberInfo, bool) {
-	var candidate mpquorum.MemberInfo
-	longestSilence, voters, reachable := lostVoterTimeout, 0, 0
+	candidate, voters, reachable := findLostVoter(m, silenceOf)
+	return candidate, candidate.Member != 0 && voters%2 == 0 && reachable > voters/2
+}
+
+// findReplacedVoter returns the voter that has been silent longest, if it is lost, when a
+// member of another VM is about to vote. That one most likely replaces it. The reachable
+// voters must form a quorum after the removal.
+func findReplacedVoter(m mpquorum.Membership, silenceOf func(mpquorum.MemberID) time.Duration) (mpquorum.MemberInfo, bool) {
+	candidate, voters, reachable := findLostVoter(m, silenceOf)
+	if candidate.Member == 0 || voters < minReplacedVoters || reachable <= (voters-1)/2 {
+		return mpquorum.MemberInfo{}, false
+	}
+	return candidate, true
+}
+
+// findLostVoter returns the voter that has been silent longest, at least lostVoterTimeout, or
+// the zero value if there is none, and the numbers of voters and of those that are not lost.
+func findLostVoter(m mpquorum.Membership, silenceOf func(mpquorum.MemberID) time.Duration) (lost mpquorum.MemberInfo, voters, reachable int) {
+	longestSilence := lostVoterTimeout
 	for _, s := range m.Seats {
 		if !s.Voter {
 			continue
@@ -89,11 +128,10 @@
 			reachable++
 		}
 		if silence >= longestSilence {
-			candidate, longestSilence = s, silence
+			lost, longestSilence = s, silence
 		}
 	}
-	ok := candidate.Member != 0 && voters%2 == 0 && reachable > voters/2
-	return candidate, ok
+	return lost, voters, reachable
 }
 
 func (r *Replica) reconfigure(now time.Time, m mpquorum.Membership) error {
--- a/core/process/mpreplica/full_test.go
+++ b/core/process/mpreplica/full_test.go
@@ -15,6 +15,9 @@
 // on: its next record left a gap in the log, which was refused as corrupt at the next start.
 func TestFailedWriteOfMembership(t *testing.T) {
 	runCluster(t, 3, 1<<20, func(c *cluster) {
+		if !c.propose("before", time.Second) {
+			t.Fatal("not accepted")
+		}
 		leader := c.leader()
 		var h *host
 		for _, x := range c.all() {
