--- a/core/process/mpreplica/enroll.go
+++ b/core/process/mpreplica/enroll.go
@@ -76,10 +76,11 @@
 	if !r.node.MembershipCommitted() {
 		return nil // One change at a time.
 	}
+	silence := r.silenceAt(now)(s.Member)
 	err := r.reconfigure(now, members.Without(s.Member))
 	if err == nil {
 		_ = level.Warn(r.cfg.Logger).Log("msg", "silent voter removed", "vm", s.VM, "member", uint64(s.Member),
-			"silent", r.silenceAt(now)(s.Member), "voters", len(members.Voters()))
+			"silent", silence, "voters", len(members.Voters()))
 	}
 	return err
 }
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -129,8 +129,8 @@
 	isSnapshotting  bool
 	hardState       mpquorum.HardState
 	// diskErr is the error of a write, after which the state in memory is ahead of the disk.
-	diskErr error
-	lastPrune       time.Time
+	diskErr   error
+	lastPrune time.Time
 	// lastLogged is the election state that was last logged.
 	lastLogged  electionState
 	quorumWatch quorumWatch
