mpvoter: Ask VMs that do not lead who does, to be enrolled

Cause: a voter that is new or lost its disk has an empty log, so it knows only the seeds, and asked just them to be enrolled. A seed that does not lead refused without naming the leader. While none of up to three seeds led, every replaced machine and every lost disk was a voter less for good, until too few were left. The class: a process that knows part of the deployment takes that part for all of it.

Change: a member asks the voter that refused whom it follows, by the call that exists, and asks that one next; besides the seeds it asks the members that its log names.

Why it works: a follower knows its leader by its heartbeats, and all voters of a quorum follow the same one, so any seed that is a voter leads there in two calls.

--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -118,7 +119,7 @@
 		if address == cfg.Address {
 			continue
 		}
-		reply, err := probeSeed(ctx, cfg, address)
+		reply, err := probe(ctx, cfg, address)
 		if err != nil {
 			allAnswered = false
 			continue
@@ -130,7 +131,7 @@
 	return cluster, allAnswered
 }
 
-func probeSeed(ctx context.Context, cfg Config, address string) (*mpwire.ProbeReply, error) {
+func probe(ctx context.Context, cfg Config, address string) (*mpwire.ProbeReply, error) {
 	peer, err := cfg.Client.Stub(address)
 	if err != nil {
 		return nil, err
@@ -144,59 +145,121 @@
 // continues once the member is a voter, since a member that was partitioned for long may
 // have been replaced without being notified.
 func Enroll(ctx context.Context, cfg Config, id mpdisk.Identity, replica *mpreplica.Replica) {
-	req := &mpwire.EnrollRequest{
-		Cluster: id.Cluster,
-		Member:  uint64(id.Member),
-		Vm:      cfg.VM,
-		Address: cfg.Address,
-	}
-	member := mpquorum.MemberInfo{Member: id.Member, VM: req.GetVm(), Address: req.GetAddress()}
-	isVoter := false
-	succeededAt := time.Now()
-	loggedAt := succeededAt
-	t := time.NewTimer(enrollInterval)
+	e := enroller{
+		cfg: cfg, replica: replica,
+		request: &mpwire.EnrollRequest{Cluster: id.Cluster, Member: uint64(id.Member), Vm: cfg.VM, Address: cfg.Address},
+	}
+	e.succeededAt = time.Now()
+	e.loggedAt = e.succeededAt
+	t := time.NewTimer(0)
 	defer t.Stop()
-	for attempt := 0; ; attempt++ {
-		seeds := cfg.Seeds()
-		target := replica.LeaderInfo().Address
-		if target == "" || attempt%2 == 1 {
-			target = seeds[attempt/2%len(seeds)]
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
 		}
-		done, err := replica.Enroll(member)
-		if err != nil {
-			done, err = requestEnroll(ctx, cfg, target, req)
+		if e.ask(ctx) {
+			t.Reset(confirmInterval)
+		} else {
+			t.Reset(enrollInterval)
 		}
-		// Only the leader knows whether this member is a voter; other voters return an error.
-		if err == nil && done != isVoter {
-			isVoter = done
-			_ = level.Info(cfg.Logger).Log("msg", "member votes", "member", req.GetMember(), "votes", isVoter)
+	}
+}
+
+// enroller makes one member a voter.
+type enroller struct {
+	cfg     Config
+	replica *mpreplica.Replica
+	request *mpwire.EnrollRequest
+
+	isVoter bool
+	// named is the leader that the last VM asked has named, or "".
+	named string
+	// next is the position of the next VM to ask if no leader is known.
+	next                  int
+	succeededAt, loggedAt time.Time
+}
+
+// ask takes one step and reports whether the leader has confirmed that the member is a voter.
+func (e *enroller) ask(ctx context.Context) bool {
+	member := mpquorum.MemberInfo{Member: mpquorum.MemberID(e.request.GetMember()), VM: e.cfg.VM, Address: e.cfg.Address}
+	done, err := e.replica.Enroll(member)
+	target := e.cfg.Address
+	if err != nil {
+		if target = e.nextTarget(); target == "" {
+			return false
 		}
-		now := time.Now()
-		if err == nil {
-			succeededAt = now
-		} else if now.Sub(succeededAt) >= failureLogInterval && now.Sub(loggedAt) >= failureLogInterval {
-			loggedAt = now
-			_ = level.Warn(cfg.Logger).Log("msg", "no leader found to enroll with", "for", now.Sub(succeededAt), "peer", target, "err", err)
+		done, err = requestEnroll(ctx, e.cfg, target, e.request)
+		e.named = ""
+		if err != nil {
+			e.named = askForLeader(ctx, e.cfg, target)
 		}
-		delay := enrollInterval
-		if isVoter && err == nil {
-			delay = confirmInterval
+	}
+	now := time.Now()
+	if err != nil {
+		if now.Sub(e.succeededAt) >= failureLogInterval && now.Sub(e.loggedAt) >= failureLogInterval {
+			e.loggedAt = now
+			_ = level.Warn(e.cfg.Logger).Log("msg", "no leader found to enroll with", "for", now.Sub(e.succeededAt), "peer", target, "err", err)
 		}
-		t.Reset(delay)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
+		return false
+	}
+	e.succeededAt = now
+	if done != e.isVoter {
+		e.isVoter = done
+		_ = level.Info(e.cfg.Logger).Log("msg", "member votes", "member", e.request.GetMember(), "votes", e.isVoter)
+	}
+	return done
+}
+
+// nextTarget returns the VM to ask: the leader that another one named, the one that this
+// member follows, or one of those that may know it. Of the last two each gets every other
+// turn, since a member that was removed may follow a leader that is gone.
+func (e *enroller) nextTarget() string {
+	if e.named != "" {
+		return e.named
+	}
+	e.next++
+	if leader := e.replica.LeaderInfo().Address; leader != "" && leader != e.cfg.Address && e.next%2 == 1 {
+		return leader
+	}
+	candidates := candidates(e.cfg.Address, e.cfg.Seeds(), e.replica.Status().Members)
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[e.next/2%len(candidates)]
+}
+
+// candidates returns the addresses of VMs other than own that may know the leader: the seeds,
+// and the members that this member's log names.
+func candidates(own string, seeds []string, members mpquorum.Membership) []string {
+	var out []string
+	add := func(address string) {
+		if address != "" && address != own && !slices.Contains(out, address) {
+			out = append(out, address)
 		}
 	}
+	for _, address := range seeds {
+		add(address)
+	}
+	for _, m := range members.Seats {
+		add(m.Address)
+	}
+	return out
+}
+
+// askForLeader returns the address of the leader that the voter at address follows, or "".
+func askForLeader(ctx context.Context, cfg Config, address string) string {
+	reply, err := probe(ctx, cfg, address)
+	if err != nil || reply.GetLeader() == address || reply.GetLeader() == cfg.Address {
+		return ""
+	}
+	return reply.GetLeader()
 }
 
 // requestEnroll sends the request to the voter at address. It returns an error if that
 // voter is not the leader.
 func requestEnroll(ctx context.Context, cfg Config, address string, req *mpwire.EnrollRequest) (bool, error) {
-	if address == cfg.Address {
-		return false, mperror.ErrNotLeader
-	}
 	peer, err := cfg.Client.Stub(address)
 	if err != nil {
 		return false, err
