mpgateway: Let a stream of unknown origin go on only if the voters know of none

Cause: a VM that finds no origin of a stream lets it go on if its list had only one version for long and counts as the newest one. It counted so while the VM had a lease, which outlives its contact to the others by up to 2 s, and for another second. A VM that was cut off reached no voter that knew the origin, and took the missing answers for 'nobody recorded it'.

Evidence: TestResumeAtVMOutOfStep, VMs in virtual time, upstreams of v2 that join and break off while one of three entries is cut off from then, or from a second before.

Change: the only version counts only if so few voters did not answer that one with a copy of the origin, of which there are two, would be among those that did. Otherwise the stream is refused, which is what a caller can act on.

Why it works: whoever began the stream recorded its origin at two voters before its first event left. What remains: a stream whose origin could not be recorded, resumed at such a VM.

--- a/core/process/mpgateway/origins.go
+++ b/core/process/mpgateway/origins.go
@@ -152,10 +152,19 @@
 
 // Find implements mpproxy.Origins.
 func (o *origins) Find(ctx context.Context, key mporigin.Key) (mporigin.Origin, bool) {
-	now := time.Now()
-	if origin, ok := o.ledger.Find(now, key); ok {
+	if origin, ok := o.ledger.Find(time.Now(), key); ok {
 		return origin, true
 	}
+	origin, found, _ := o.ask(ctx, key)
+	if found {
+		o.metrics.Add("origins.found", 1)
+	}
+	return origin, found
+}
+
+// ask asks all voters for an origin until one has it. If none has it, rulesOut is set if that is
+// so, since too few voters did not answer for all copies of it to be at these.
+func (o *origins) ask(ctx context.Context, key mporigin.Key) (origin mporigin.Origin, found, rulesOut bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	type answer struct {
@@ -163,7 +172,7 @@
 		ok     bool
 		err    error
 	}
-	keepers := o.keepers(now, key)
+	keepers := o.keepers(time.Now(), key)
 	answers := make(chan answer, len(keepers))
 	answered := 0
 	var lastErr error
@@ -176,8 +185,7 @@
 	for range keepers {
 		switch a := <-answers; {
 		case a.ok:
-			o.metrics.Add("origins.found", 1)
-			return a.origin, true
+			return a.origin, true, false
 		case a.err != nil:
 			lastErr = a.err
 		default:
@@ -185,7 +193,7 @@
 		}
 	}
 	_ = level.Info(o.logger).Log("msg", "origin not found", "voters", len(keepers), "answered", answered, "err", lastErr)
-	return mporigin.Origin{}, false
+	return mporigin.Origin{}, false, answered > 0 && len(keepers)-answered < originCopies
 }
 
 // findAt asks a voter for an origin. It returns false without an error if the voter has none.
@@ -204,9 +212,17 @@
 	return mporigin.Origin{Pool: reply.GetPool(), Version: reply.GetVersion()}, true, nil
 }
 
-// Sole implements mpproxy.Origins.
-func (o *origins) Sole(now time.Time, pool string, span time.Duration) (string, bool) {
-	return o.history.Sole(now, pool, span)
+// Sole implements mpproxy.Origins. A lease outlives the contact to the other VMs, so that the
+// list may be out of date although it counts as the newest one. The voters know of streams that
+// began at upstreams that it lacks.
+func (o *origins) Sole(ctx context.Context, key mporigin.Key, pool string, span time.Duration) (string, bool) {
+	if _, ok := o.history.Sole(time.Now(), pool, span); !ok {
+		return "", false
+	}
+	if _, _, rulesOut := o.ask(ctx, key); !rulesOut {
+		return "", false
+	}
+	return o.history.Sole(time.Now(), pool, span)
 }
 
 // serveNote answers a call of another VM.
--- a/core/process/mpgateway/origins_test.go
+++ b/core/process/mpgateway/origins_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"mustardpost.org/core/common/mpset"
+	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
@@ -39,6 +40,7 @@
 	streamTimeout  = 8 * time.Second
 	resumeTries    = 4
 	resumeDuration = 20 * time.Second
+	resumeLease    = 2 * time.Second
 	// minResumed is the least share of the streams that callers resume which go on, against
 	// the share of new streams that begin.
 	minResumed = 0.5
@@ -56,6 +58,8 @@
 	disturb func(second int, d *resumeDeployment)
 	// mayRefuse is set if VMs know too little to let streams go on.
 	mayRefuse bool
+	// warmUp is how long the VMs have run before callers ask for streams.
+	warmUp time.Duration
 }
 
 // resumeDialect is a Dialect that sends the last event on.
@@ -86,19 +90,54 @@
 // resumeVM is one process. It knows nothing of those before it.
 type resumeVM struct {
 	name    string
+	d       *resumeDeployment
 	origins *origins
+	list    atomic.Pointer[mplist.List]
 	proxy   *mpproxy.Proxy
 	ctx     context.Context
 	kill    context.CancelFunc
 	// isFrozen is set while the VM answers no other one.
 	isFrozen atomic.Bool
+	// cutAt is since when the VM is cut off from the others, as long as it is; nil if it is not.
+	cutAt atomic.Pointer[time.Time]
+	// hasOldList is set while the VM gets no newer list, though it reaches the others.
+	hasOldList atomic.Bool
+}
+
+// Table implements mpproxy.RoutingState.
+func (vm *resumeVM) Table() *mproute.Table { return vm.d.table }
+
+// Usable implements mpproxy.RoutingState.
+func (vm *resumeVM) Usable() *mplist.Usable {
+	return vm.list.Load().Usable(func(string) bool { return false })
+}
+
+// update gives the VM the newest list, unless it is cut off.
+func (vm *resumeVM) update() {
+	if vm.cutAt.Load() != nil || vm.hasOldList.Load() {
+		return
+	}
+	list := vm.d.list.Load()
+	vm.list.Store(list)
+	vm.origins.observe(time.Now(), list)
+}
+
+// confirm does what a VM does with its lease, which outlives the contact to the leader by
+// resumeLease.
+func (vm *resumeVM) confirm() {
+	if cutAt := vm.cutAt.Load(); cutAt != nil && time.Since(*cutAt) > resumeLease {
+		vm.origins.history.Interrupt()
+	} else {
+		vm.origins.history.Confirm(time.Now())
+	}
 }
 
 // resumePeer hands calls to the VM that runs when they arrive.
 type resumePeer struct {
 	mpwire.PeerClient
-	d *resumeDeployment
-	i int
+	from *resumeVM
+	d    *resumeDeployment
+	i    int
 }
 
 func (p resumePeer) reach(ctx context.Context) (*resumeVM, error) {
@@ -106,7 +145,7 @@
 	p.d.mu.Lock()
 	vm := p.d.vms[p.i]
 	p.d.mu.Unlock()
-	if vm.isFrozen.Load() {
+	if vm.isFrozen.Load() || vm.cutAt.Load() != nil || p.from.cutAt.Load() != nil {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -129,14 +168,6 @@
 	return vm.origins.serveFind(time.Now(), r), nil
 }
 
-// Table implements mpproxy.RoutingState.
-func (d *resumeDeployment) Table() *mproute.Table { return d.table }
-
-// Usable implements mpproxy.RoutingState.
-func (d *resumeDeployment) Usable() *mplist.Usable {
-	return d.list.Load().Usable(func(string) bool { return false })
-}
-
 func (d *resumeDeployment) float() float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -182,20 +213,20 @@
 
 // start adds or replaces a VM.
 func (d *resumeDeployment) start(i int) {
-	vm := &resumeVM{name: fmt.Sprint("vm", i)}
+	vm := &resumeVM{name: fmt.Sprint("vm", i), d: d}
 	vm.origins = &origins{
 		vm: vm.name, view: d.view.Load, ledger: mporigin.New(), history: mporigin.NewHistory(), silence: newSilence(),
 		dial: func(address string) (mpwire.PeerClient, error) {
 			n, err := strconv.Atoi(strings.TrimPrefix(address, "vm"))
-			return resumePeer{d: d, i: n}, err
+			return resumePeer{from: vm, d: d, i: n}, err
 		},
 		metrics: mpmetric.New(), logger: log.NewNopLogger(),
 	}
-	vm.origins.observe(time.Now(), d.list.Load())
+	vm.update()
 	vm.ctx, vm.kill = context.WithCancel(d.t.Context())
 	budget := mpbudget.New(mpbudget.Config{Ratio: 1, Burst: 100})
 	vm.proxy = mpproxy.New(mpproxy.Config{
-		DC: "a", State: d, Dialect: resumeDialect{}, Selector: mpselect.New(mpselect.Config{VM: vm.name}), Budget: func(string) *mpbudget.Budget { return budget },
+		DC: "a", State: vm, Dialect: resumeDialect{}, Selector: mpselect.New(mpselect.Config{VM: vm.name}), Budget: func(string) *mpbudget.Budget { return budget },
 		Transport: d, Quarantine: mpquarantine.New(), Notices: mpnotice.New(), Evidence: &evidence{}, Prober: noProber{}, Quotas: &quotas{limits: mpquota.NewLimits()}, Origins: vm.origins,
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
@@ -226,7 +257,7 @@
 	d.list.Store(mplist.New(time.Now(), rows))
 	for _, vm := range d.vms {
 		if vm != nil {
-			vm.origins.observe(time.Now(), d.list.Load())
+			vm.update()
 		}
 	}
 }
@@ -262,6 +293,19 @@
 // run lets callers ask for streams.
 func (d *resumeDeployment) run() {
 	const interval = 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(d.t.Context())
+	defer cancel()
+	if d.warmUp > 0 {
+		go mptime.Every(ctx, confirmInterval, func(time.Time) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			for _, vm := range d.vms {
+				vm.confirm()
+			}
+		})
+		<-time.After(d.warmUp)
+		d.begin = time.Now()
+	}
 	var wg sync.WaitGroup
 	for n := 0; time.Since(d.begin) < resumeDuration; n++ {
 		if now := time.Since(d.begin); d.disturb != nil && now%time.Second < interval {
@@ -417,3 +461,60 @@
 		})
 	}
 }
+
+// TestResumeAtVMOutOfStep guards against streams that go on at another version at a VM that was
+// out of touch while upstreams of a new version joined: it reached no voter that knew where the
+// stream began, and its lease, which outlives its contact, let it take its old list, with one
+// version, for the newest one.
+func TestResumeAtVMOutOfStep(t *testing.T) {
+	cut := func(vm *resumeVM) {
+		now := time.Now()
+		vm.cutAt.Store(&now)
+	}
+	for name, disturb := range map[string]func(second int, d *resumeDeployment){
+		"cut off as they join": func(second int, d *resumeDeployment) {
+			switch second % 8 {
+			case 4:
+				cut(d.vms[0])
+				d.setVersions("v1", "v1", "v2", "v2", "v2", "v2")
+			case 7:
+				d.vms[0].cutAt.Store(nil)
+				d.setVersions("v1", "v1")
+			}
+		},
+		"woken after they have joined": func(second int, d *resumeDeployment) {
+			switch second % 8 {
+			case 4:
+				d.vms[0].hasOldList.Store(true)
+				d.setVersions("v1", "v1", "v2", "v2", "v2", "v2")
+			case 7:
+				d.vms[0].hasOldList.Store(false)
+				d.setVersions("v1", "v1")
+			}
+		},
+		"cut off before they join": func(second int, d *resumeDeployment) {
+			switch second % 8 {
+			case 3:
+				cut(d.vms[0])
+			case 4:
+				d.setVersions("v1", "v1", "v2", "v2", "v2", "v2")
+			case 7:
+				d.vms[0].cutAt.Store(nil)
+				d.setVersions("v1", "v1")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				synctest.Test(t, func(t *testing.T) {
+					d := newResumeDeployment(t, seed, resumeLoad{
+						entries: 3, voters: 5, versions: []string{"v1", "v1"}, breaking: 0.05, mayRefuse: true, disturb: disturb, warmUp: 30 * time.Second,
+					})
+					d.run()
+					<-time.After(noteTimeout)
+					d.check(seed)
+				})
+			}
+		})
+	}
+}
--- a/core/request/mpproxy/origin.go
+++ b/core/request/mpproxy/origin.go
@@ -25,8 +25,9 @@
 // it is known nevertheless while the route has one pool, with one version for longer than the
 // stream can have lasted.
 func (e *exchange) findOrigin(ctx context.Context, pool string) mporigin.Origin {
+	key := e.originKey(e.r.Resumes)
 	if e.r.Resumes != "" && e.r.Resumes != e.r.ID {
-		if o, ok := e.p.cfg.Origins.Find(ctx, e.originKey(e.r.Resumes)); ok {
+		if o, ok := e.p.cfg.Origins.Find(ctx, key); ok {
 			return o
 		}
 	}
@@ -34,7 +35,7 @@
 		return mporigin.Origin{}
 	}
 	// Part of the caller's time has passed.
-	version, ok := e.p.cfg.Origins.Sole(e.p.cfg.Clock(), pool, 2*e.originTTL())
+	version, ok := e.p.cfg.Origins.Sole(ctx, key, pool, 2*e.originTTL())
 	if !ok {
 		return mporigin.Origin{}
 	}
--- a/core/request/mpproxy/origin_test.go
+++ b/core/request/mpproxy/origin_test.go
@@ -34,7 +34,7 @@
 	return o.ledger.Find(time.Now(), key)
 }
 
-func (o *fakeOrigins) Sole(time.Time, string, time.Duration) (string, bool) {
+func (o *fakeOrigins) Sole(context.Context, mporigin.Key, string, time.Duration) (string, bool) {
 	return o.sole, o.sole != ""
 }
 
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -110,8 +110,8 @@
 	// key. It returns false if no VM is found that has recorded it.
 	Find(ctx context.Context, key mporigin.Key) (mporigin.Origin, bool)
 	// Sole returns the version of a pool's software if the pool is known to have had no other
-	// one in the last span.
-	Sole(now time.Time, pool string, span time.Duration) (string, bool)
+	// one in the last span, and no other VM has recorded an origin of the stream.
+	Sole(ctx context.Context, key mporigin.Key, pool string, span time.Duration) (string, bool)
 }
 
 // StageExecutor runs the pieces of stages.
