mpproxy: Refuse requests that a leaving VM has no time for

Cause: a VM that leaves stops accepting connections after 0.35 of the grace period, but serves each request on a connection that was made before, whenever its last byte comes, with all the time that its route allows. net/http treats a connection without a request as active for 5 s after Shutdown.

Change: a leaving VM refuses a request as not run if its route's requests usually (95 of 100 of the last 64) take longer than is left, or, for requests that run at most once and are no streams, if the route's timeout is longer. What it accepts is given up 0.2 s before the end, so that its caller gets an answer. Requests that were accepted before the signal go on as before.

Why it works: whatever is forwarded after the signal ends, at the latest, while the process can still answer. A tried variant that shortened the deadline of the request itself also halved the patience with its upstream and gave 504 to requests that had time; it is not in.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -376,9 +376,11 @@
 	}
 }
 
-// Leave announces that this VM is about to stop, and hands over leadership.
-func (g *Gateway) Leave() {
+// Leave announces that this VM is about to stop, and hands over leadership. The process ends
+// at until.
+func (g *Gateway) Leave(until time.Time) {
 	g.member.Leave()
+	g.proxy.Leave(until)
 	if voter := g.voterService.Voter(); voter != nil {
 		voter.Replica().TransferLeadership()
 	}
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -83,8 +84,11 @@
 
 // Proxy forwards requests to upstreams. It is safe for concurrent use.
 type Proxy struct {
-	cfg      Config
-	forecast *forecast
+	cfg       Config
+	forecast  *forecast
+	durations *durations
+	// leaveDeadline is when the last response must have ended; nil unless the process leaves.
+	leaveDeadline atomic.Pointer[time.Time]
 	// refusalSummaries and failureSummaries limit the log lines about refused requests
 	// and about failed attempts.
 	refusalSummaries, failureSummaries *mplog.Summarizer
@@ -93,7 +97,7 @@
 // New returns a Proxy that has no observations of upstreams yet.
 func New(cfg Config) *Proxy {
 	return &Proxy{
-		cfg: cfg, forecast: newForecast(),
+		cfg: cfg, forecast: newForecast(), durations: newDurations(),
 		refusalSummaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgRequestsNotServed), failureSummaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgAttemptsFailed),
 	}
 }
@@ -117,6 +121,8 @@
 	// startDeadline is when the caller abandons a stream that has not started. For
 	// other requests it equals deadline.
 	startDeadline time.Time
+	// processEnd is when the response must have ended since the process leaves; zero if it stays.
+	processEnd time.Time
 	// origin is the software that began the stream, to which it is bound; unknown until then.
 	origin   mporigin.Origin
 	pickInfo mpselect.PickInfo
@@ -185,7 +191,7 @@
 	if !e.admit() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	ctx, cancel := context.WithDeadline(ctx, e.contextDeadline())
 	defer cancel()
 	defer e.freeInputs()
 	defer e.settleBudget()
@@ -227,6 +233,9 @@
 	if spec.Kind == mproute.Stream {
 		e.startDeadline = e.start.Add(min(e.startTimeout(), timeout))
 	}
+	if !e.admitBeforeLeave() {
+		return false
+	}
 	e.traits = traitsOf(e.r)
 	if v := e.p.cfg.Quarantine.Judge(e.start, e.traits); v.Level == mpquarantine.Convicted {
 		e.refuseConvicted(v)
@@ -398,6 +407,9 @@
 		e.p.cfg.Metrics.ObserveDuration("first", e.timeToFirstEvent)
 	}
 	e.p.cfg.Metrics.Add("sends", int64(e.sends))
+	if e.status >= http.StatusOK && e.status < http.StatusMultipleChoices {
+		e.p.durations.record(route, e.p.cfg.Clock().Sub(e.start))
+	}
 	if e.cause != "" && !e.p.refusalSummaries.ShouldLog(e.cause, e.r.ID) {
 		return
 	}
