--- a/core/process/mpreplica/replace_test.go
+++ b/core/process/mpreplica/replace_test.go
@@ -38,8 +38,8 @@
 }
 
 // TestVotersAfterLosses guards against orders of losses after which fewer running voters remain
-// than it takes to lose a data centre. It replaces machines, loses disks and stops data centres
-// at random, with testCatchUp between them.
+// than it takes to lose a data centre. It replaces machines, loses and fills disks and stops
+// data centres at random, with testCatchUp between them.
 func TestVotersAfterLosses(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -50,7 +50,7 @@
 				var history []string
 				for range 12 {
 					i := random.IntN(len(names))
-					step := []string{"replace", "planned", "wipe", "restart", "lose two"}[random.IntN(5)]
+					step := []string{"replace", "planned", "wipe", "restart", "lose two", "fill"}[random.IntN(6)]
 					history = append(history, step+" "+names[i])
 					switch step {
 					case "replace":
@@ -75,6 +75,11 @@
 						h.stop()
 						time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
 						h.start()
+					case "fill":
+						h := c.host(names[i])
+						h.full.Store(true)
+						time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
+						h.full.Store(false)
 					case "lose two":
 						down := []*host{c.host(names[i]), c.host(names[(i+1)%len(names)])}
 						for _, h := range down {
