mpconsensus: Let a voter with corrupt data join again while the others have a leader

What callers would see: a voter less for good, and with too few of them no service, on a fleet without an operator at hand (the class of the incident: a state on disk from which a voter cannot go on).

Cause: Supervise returned on ErrCorrupt; the process ended, and again at each start.

Change: if a seed follows a leader of the same deployment, the voter sets its files aside, and joins as a new member, as after the loss of its disk; it must not bootstrap then. Otherwise Supervise returns the error as before: without a leader the data may be what the others lack.

Why it is safe: a leader was elected by a quorum that did not need this voter, so it holds all that is committed; any number of such voters is bounded by that. Shown by TestVoterRejoinsWithCorruptData, which fails before, TestHasLeader, and TestSetAside, which interrupts it at each operation.

--- a/core/process/mpconsensus/supervisor_test.go
+++ b/core/process/mpconsensus/supervisor_test.go
@@ -25,6 +25,10 @@
 	failAfter []time.Duration
 	stops     int
 	starts    int
+	// hasLeader is set if the other voters have a leader.
+	hasLeader bool
+	// setAside counts how often the data directory was set aside.
+	setAside int
 }
 
 func (d *faultyDisk) start(_, _ context.Context, _ Config, failed chan<- error) (*Voter, error) {
@@ -47,6 +51,8 @@
 		s := supervisor{
 			cfg: Config{Voter: mpvoter.Config{Logger: log.NewNopLogger()}}, start: d.start,
 			stop: func(*Voter) { d.stops++ }, setVoter: func(*Voter) {},
+			hasLeader: func(context.Context, mpvoter.Config) bool { return d.hasLeader },
+			setAside:  func(string) error { d.setAside++; return nil },
 		}
 		done := make(chan error, 1)
 		go func() { done <- s.run(ctx, ctx) }()
@@ -87,5 +93,20 @@
 		if err := d.supervise(t, 10*time.Second); !errors.Is(err, mperror.ErrCorrupt) {
 			t.Errorf("got %v, want ErrCorrupt", err)
 		}
+		if d.setAside > 0 {
+			t.Error("the data directory was set aside, though the other voters have no leader")
+		}
 	})
 }
+
+// TestVoterRejoinsWithCorruptData guards against voters that are gone for good since their data
+// is corrupt, on a fleet without an operator at hand. Their processes ended at each start.
+func TestVoterRejoinsWithCorruptData(t *testing.T) {
+	d := &faultyDisk{startErrors: []error{mperror.Wrap(mperror.ErrCorrupt, "log")}, hasLeader: true}
+	if err := d.supervise(t, 10*time.Second); err != nil {
+		t.Errorf("supervisor ended with error: %v", err)
+	}
+	if diff := cmp.Diff([]int{2, 1}, []int{d.starts, d.setAside}); diff != "" {
+		t.Errorf("starts, and how often data was set aside (-want +got):\n%s", diff)
+	}
+}
--- a/core/process/mpdisk/crash_test.go
+++ b/core/process/mpdisk/crash_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 
@@ -137,6 +138,43 @@
 	}
 }
 
+// TestSetAside guards against a directory that is neither set aside nor usable after a loss of
+// power in between: with its identity left, the voter would go on as the same member without
+// what it has acknowledged.
+func TestSetAside(t *testing.T) {
+	for seed := range uint64(200) {
+		disk := newSimFiles(seed)
+		s, _, err := open(disk, "dir")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(
+			writeFileAtomic(disk, filepath.Join("dir", identityFile), newFrame([]byte("{}"))),
+			s.WriteSnapshot(mpquorum.Snapshot{Index: 3, Term: 1}), s.Rotate(3, mpquorum.HardState{Term: 1}, nil),
+		); err != nil {
+			t.Fatal(err)
+		}
+		disk.crashIn = int(seed % 8)
+		disk.run(func() { _ = setAside(disk, "dir") })
+		disk.crashIn = 0
+		disk.losePower()
+		_, hasIdentity := disk.names[filepath.Join("dir", identityFile)]
+		_, l, err := open(disk, "dir")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if hasIdentity && l.Snapshot.Index != 3 {
+			t.Errorf("seed %d: the identity is left without the snapshot", seed)
+		}
+		if err := setAside(disk, "dir"); err != nil {
+			t.Fatal(err)
+		}
+		if _, l, err = open(disk, "dir"); err != nil || l.Snapshot.Index != 0 || l.HardState.Term != 0 {
+			t.Errorf("seed %d: after it was set aside: %+v, %v", seed, l, err)
+		}
+	}
+}
+
 // diskState is what a voter has saved, or has recovered and acts on.
 type diskState struct {
 	Hard    mpquorum.HardState
--- a/core/process/mpdisk/store.go
+++ b/core/process/mpdisk/store.go
@@ -25,6 +25,7 @@
 	snapPattern  = "snap-*"
 	identityFile = "member"
 	tempSuffix   = ".part"
+	asidePrefix  = "aside-"
 	fileMode     = 0o600
 	dirMode      = 0o700
 	// firstLog is the sequence number of the log that a new directory begins with.
@@ -94,6 +95,40 @@
 	return writeFileAtomic(osFiles{}, filepath.Join(dir, identityFile), newFrame(payload))
 }
 
+// SetAside renames the identity, the snapshots and the logs in dir, so that the voter joins as
+// a new member. It removes what it set aside before. If it is interrupted, it can be repeated.
+func SetAside(dir string) error {
+	return setAside(osFiles{}, dir)
+}
+
+func setAside(files files, dir string) error {
+	obsolete, err := files.list(filepath.Join(dir, asidePrefix+"*"))
+	if err != nil {
+		return mperror.Wrap(err, "list data directory")
+	}
+	for _, path := range obsolete {
+		if err := files.remove(path); err != nil {
+			return mperror.Wrap(err, "remove what was set aside before")
+		}
+	}
+	// Without an identity nothing else in the directory counts, so that goes first.
+	for _, pattern := range []string{identityFile, snapPattern, logPattern} {
+		paths, err := files.list(filepath.Join(dir, pattern))
+		if err != nil {
+			return mperror.Wrap(err, "list data directory")
+		}
+		for _, path := range paths {
+			if err := files.rename(path, filepath.Join(dir, asidePrefix+filepath.Base(path))); err != nil {
+				return mperror.Wrap(err, "set aside %s", path)
+			}
+		}
+		if err := files.syncDir(dir); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Open reads the snapshot and log in dir and opens the log for appending. What it returns
 // is durable, also if the process that wrote it was killed before it had synced it.
 func Open(dir string) (*Store, RecoveredState, error) {
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -131,6 +131,23 @@
 	return cluster, allAnswered
 }
 
+// HasLeader reports whether a seed follows a leader of the deployment that the data directory
+// belongs to, so that the deployment has a quorum without this VM. If the directory does not
+// tell its deployment, any will do.
+func HasLeader(ctx context.Context, cfg Config) bool {
+	id, known, err := mpdisk.ReadIdentity(cfg.DataDir)
+	for _, address := range candidates(cfg.Address, cfg.Seeds(), mpquorum.Membership{}) {
+		reply, probeErr := probe(ctx, cfg, address)
+		if probeErr != nil || !reply.GetFounded() || reply.GetLeader() == "" || reply.GetLeader() == cfg.Address {
+			continue
+		}
+		if err != nil || !known || reply.GetCluster() == id.Cluster {
+			return true
+		}
+	}
+	return false
+}
+
 func probe(ctx context.Context, cfg Config, address string) (*mpwire.ProbeReply, error) {
 	peer, err := cfg.Client.Stub(address)
 	if err != nil {
--- a/core/process/mpvoter/mpvoter_test.go
+++ b/core/process/mpvoter/mpvoter_test.go
@@ -107,3 +107,35 @@
 		t.Errorf("candidates (-want +got):\n%s", diff)
 	}
 }
+
+// TestHasLeader guards against corrupt data that is set aside while the others lack it.
+func TestHasLeader(t *testing.T) {
+	following, leaderless := (&voter{leader: "127.0.0.1:2"}).serve(t), (&voter{}).serve(t)
+	for name, c := range map[string]struct {
+		seeds   []string
+		cluster uint64 // That of the data directory; 0 if it has no identity.
+		want    bool
+	}{
+		"a seed follows a leader":              {[]string{leaderless, following}, 5, true},
+		"no identity":                          {[]string{following}, 0, true},
+		"another deployment":                   {[]string{following}, 6, false},
+		"the seeds have no leader":             {[]string{leaderless}, 5, false},
+		"the seeds cannot be reached":          {[]string{"127.0.0.1:1"}, 5, false},
+		"the leader that is followed was this": {[]string{(&voter{leader: "127.0.0.1:9"}).serve(t)}, 5, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			if c.cluster > 0 {
+				if err := mpdisk.WriteIdentity(dir, mpdisk.Identity{Cluster: c.cluster, Member: 9}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			client := mppeer.NewClient(mppeer.Config{Secret: testSecret, Metrics: mpmetric.New()})
+			defer client.Close()
+			cfg := Config{VM: "vm9", Address: "127.0.0.1:9", DataDir: dir, Seeds: func() []string { return c.seeds }, Client: client, Logger: log.NewNopLogger()}
+			if got := HasLeader(t.Context(), cfg); got != c.want {
+				t.Errorf("HasLeader = %t, want %t", got, c.want)
+			}
+		})
+	}
+}
