mpgateway: Look for the leader at the voters that the own log names

Change: the seeds are followed by the members of the voter's log, with this VM itself, whose voter answers with its leader. TestCandidates shows which addresses are used.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -158,14 +158,14 @@
 		Self: mpview.VM{
 			Name: cfg.VM, DC: cfg.DC, Boot: boot, Address: cfg.CallerAddress, Peer: cfg.PeerAddress, Voter: cfg.IsVoter,
 		},
-		Voters: cfg.Seeds,
+		Voters: g.voterAddresses,
 		Client: g.client,
 		Logger: cfg.Logger,
 		OnView: g.onView,
 		OnList: g.onList,
 		Limits: g.quotas.limits, OnLimit: g.quotas.learn,
 	})
-	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: cfg.Seeds})
+	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: g.voterAddresses})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
 		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
@@ -200,6 +200,16 @@
 	return g
 }
 
+// voterAddresses returns the peer addresses of VMs that may know the leader: the seeds, and
+// the members that the log of this VM's voter names, including itself.
+func (g *Gateway) voterAddresses() []string {
+	seeds := g.cfg.Seeds()
+	if voter := g.voterService.Voter(); voter != nil {
+		return mpvoter.Candidates("", seeds, voter.Replica().Status().Members)
+	}
+	return seeds
+}
+
 // publishMetrics registers the gauges that show this VM's health.
 func (g *Gateway) publishMetrics() {
 	g.metrics.Gauge("lease", func() any { return g.member.HasLease(time.Now()) })
--- a/core/process/mpvoter/mpvoter.go
+++ b/core/process/mpvoter/mpvoter.go
@@ -136,7 +136,7 @@
 // tell its deployment, any will do.
 func HasLeader(ctx context.Context, cfg Config) bool {
 	id, known, err := mpdisk.ReadIdentity(cfg.DataDir)
-	for _, address := range candidates(cfg.Address, cfg.Seeds(), mpquorum.Membership{}) {
+	for _, address := range Candidates(cfg.Address, cfg.Seeds(), mpquorum.Membership{}) {
 		reply, probeErr := probe(ctx, cfg, address)
 		if probeErr != nil || !reply.GetFounded() || reply.GetLeader() == "" || reply.GetLeader() == cfg.Address {
 			continue
@@ -240,16 +240,16 @@
 	if leader := e.replica.LeaderInfo().Address; leader != "" && leader != e.cfg.Address && e.next%2 == 1 {
 		return leader
 	}
-	candidates := candidates(e.cfg.Address, e.cfg.Seeds(), e.replica.Status().Members)
-	if len(candidates) == 0 {
+	addresses := Candidates(e.cfg.Address, e.cfg.Seeds(), e.replica.Status().Members)
+	if len(addresses) == 0 {
 		return ""
 	}
-	return candidates[e.next/2%len(candidates)]
+	return addresses[e.next/2%len(addresses)]
 }
 
-// candidates returns the addresses of VMs other than own that may know the leader: the seeds,
+// Candidates returns the addresses of VMs other than own that may know the leader: the seeds,
 // and the members that this member's log names.
-func candidates(own string, seeds []string, members mpquorum.Membership) []string {
+func Candidates(own string, seeds []string, members mpquorum.Membership) []string {
 	var out []string
 	add := func(address string) {
 		if address != "" && address != own && !slices.Contains(out, address) {
--- a/core/process/mpvoter/mpvoter_test.go
+++ b/core/process/mpvoter/mpvoter_test.go
@@ -100,9 +100,11 @@
 	}
 }
 
+// TestCandidates guards against voters that find no leader though their own log names the others:
+// with seeds that are gone, a VM that restarted asked nobody else.
 func TestCandidates(t *testing.T) {
 	members := mpquorum.Membership{Seats: []mpquorum.MemberInfo{{Member: 1, Address: "a"}, {Member: 2, Address: "own"}, {Member: 3, Address: "d"}}}
-	got := candidates("own", []string{"own", "a", "b"}, members)
+	got := Candidates("own", []string{"own", "a", "b"}, members)
 	if diff := cmp.Diff([]string{"a", "b", "d"}, got); diff != "" {
 		t.Errorf("candidates (-want +got):\n%s", diff)
 	}
