--- a/core/process/mpconsensus/supervisor_test.go
+++ b/core/process/mpconsensus/supervisor_test.go
@@ -43,8 +43,8 @@
 	return &Voter{}, nil
 }
 
-// supervise runs a supervisor on d for duration and returns its error.
-func (d *faultyDisk) supervise(t *testing.T, duration time.Duration) (err error) {
+// supervise runs a supervisor on d for ten seconds and returns its error.
+func (d *faultyDisk) supervise(t *testing.T) (err error) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -58,7 +58,7 @@
 		go func() { done <- s.run(ctx, ctx) }()
 		select {
 		case err = <-done:
-		case <-time.After(duration):
+		case <-time.After(10 * time.Second):
 			cancel()
 			err = <-done
 		}
@@ -72,7 +72,7 @@
 func TestVoterRestartsAfterDiskFailure(t *testing.T) {
 	t.Run("disk fails and recovers", func(t *testing.T) {
 		d := &faultyDisk{startErrors: []error{nil, errNoSpace, errNoSpace}, failAfter: []time.Duration{time.Second}}
-		if err := d.supervise(t, 10*time.Second); err != nil {
+		if err := d.supervise(t); err != nil {
 			t.Errorf("supervisor ended with error: %v", err)
 		}
 		if diff := cmp.Diff([]int{4, 2}, []int{d.starts, d.stops}); diff != "" {
@@ -81,7 +81,7 @@
 	})
 	t.Run("disk fails repeatedly", func(t *testing.T) {
 		d := &faultyDisk{failAfter: []time.Duration{time.Second, time.Second, time.Second}}
-		if err := d.supervise(t, 10*time.Second); err != nil {
+		if err := d.supervise(t); err != nil {
 			t.Errorf("supervisor ended with error: %v", err)
 		}
 		if diff := cmp.Diff([]int{4, 4}, []int{d.starts, d.stops}); diff != "" {
@@ -90,7 +90,7 @@
 	})
 	t.Run("corrupt data directory ends supervision", func(t *testing.T) {
 		d := &faultyDisk{startErrors: []error{mperror.Wrap(mperror.ErrCorrupt, "log")}}
-		if err := d.supervise(t, 10*time.Second); !errors.Is(err, mperror.ErrCorrupt) {
+		if err := d.supervise(t); !errors.Is(err, mperror.ErrCorrupt) {
 			t.Errorf("got %v, want ErrCorrupt", err)
 		}
 		if d.setAside > 0 {
@@ -103,7 +103,7 @@
 // is corrupt, on a fleet without an operator at hand. Their processes ended at each start.
 func TestVoterRejoinsWithCorruptData(t *testing.T) {
 	d := &faultyDisk{startErrors: []error{mperror.Wrap(mperror.ErrCorrupt, "log")}, hasLeader: true}
-	if err := d.supervise(t, 10*time.Second); err != nil {
+	if err := d.supervise(t); err != nil {
 		t.Errorf("supervisor ended with error: %v", err)
 	}
 	if diff := cmp.Diff([]int{2, 1}, []int{d.starts, d.setAside}); diff != "" {
--- /dev/null
+++ b/core/process/mpgateway/metrics.go
@@ -0,0 +1,57 @@
+package mpgateway
+
+import (
+	"time"
+
+	"mustardpost.org/core/request/mpquarantine"
+)
+
+// publishMetrics registers the gauges that show this VM's health.
+func (g *Gateway) publishMetrics() {
+	g.metrics.Gauge("lease", func() any { return g.member.HasLease(time.Now()) })
+	g.metrics.Gauge("revision", func() any { return g.member.Current().Revision() })
+	g.metrics.Gauge("plan", func() any { return g.Table().Version() })
+	g.metrics.Gauge("vms", func() any { return len(g.member.Current().VMs()) })
+	g.metrics.Gauge("upstreams", func() any { return len(g.List().Rows()) })
+	g.metrics.Gauge("upstreams.age", func() any {
+		if list := g.List(); list != nil {
+			return time.Since(list.ReceivedAt())
+		}
+		return time.Duration(0)
+	})
+	g.metrics.Gauge("leads", func() any {
+		voter := g.voterService.Voter()
+		return voter != nil && voter.Replica().Status().Leading
+	})
+	if g.cfg.IsVoter {
+		g.publishVoterMetrics()
+	}
+	g.metrics.Gauge("quarantine.suspects", func() any { return g.quarantine.Count(mpquarantine.Suspect, mpquarantine.StrongSuspect) })
+	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
+	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
+	g.metrics.Gauge("origins", func() any { return g.origins.ledger.Count() })
+	g.metrics.Gauge("relay.tunnels", func() any { return g.cfg.Relay.Tunnels() })
+	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
+}
+
+// publishVoterMetrics registers the gauges that show the health of this VM's voter and of
+// the quorum.
+func (g *Gateway) publishVoterMetrics() {
+	g.metrics.Gauge("voter", func() any { return g.voterService.Voter() != nil })
+	g.metrics.Gauge("voters", func() any {
+		if voter := g.voterService.Voter(); voter != nil {
+			return len(voter.Replica().Status().Members.Voters())
+		}
+		return 0
+	})
+	g.metrics.Gauge("quorum.lost", func() any {
+		voter := g.voterService.Voter()
+		if voter == nil {
+			return time.Duration(0)
+		}
+		if lostAt := voter.Replica().Status().LostAt; !lostAt.IsZero() {
+			return time.Since(lostAt)
+		}
+		return time.Duration(0)
+	})
+}
--- a/core/process/mpreplica/full_test.go
+++ b/core/process/mpreplica/full_test.go
@@ -34,13 +34,13 @@
 		if !c.propose("after", 5*time.Second) {
 			t.Error("no change was accepted within 5s after the disk had room")
 		}
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		h.stop()
 		if _, _, err := mpdisk.Open(h.dir); err != nil {
 			t.Error(err)
 		}
 		h.start()
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		if h.running() == nil {
 			t.Errorf("the voter does not start again: %v", h.err)
 		}
@@ -80,10 +80,10 @@
 							}
 						}
 						h.full.Store(true)
-						time.Sleep(length)
+						<-time.After(length)
 						h.full.Store(false)
 					}
-					time.Sleep(2 * time.Second)
+					<-time.After(2 * time.Second)
 					close(stop)
 					<-done
 					if !c.propose("last", 2*time.Second) {
--- a/core/process/mpreplica/replace_test.go
+++ b/core/process/mpreplica/replace_test.go
@@ -20,9 +20,9 @@
 		t.Run(gap.String(), func(t *testing.T) {
 			runCluster(t, 5, 1<<20, func(c *cluster) {
 				c.replaceMachine("vm1", "vm6", time.Second)
-				time.Sleep(gap)
+				<-time.After(gap)
 				c.replaceMachine("vm2", "vm7", time.Second)
-				time.Sleep(testCatchUp)
+				<-time.After(testCatchUp)
 				c.checkVoters("vm3", "vm4", "vm5", "vm6", "vm7")
 				// A data centre with two of them is lost.
 				c.host("vm3").stop()
@@ -62,7 +62,7 @@
 						next++
 						vm := fmt.Sprintf("vm%d", next)
 						c.newHost(vm).start()
-						time.Sleep(2 * time.Second)
+						<-time.After(2 * time.Second)
 						c.remove(names[i])
 						names[i] = vm
 					case "wipe":
@@ -73,12 +73,12 @@
 					case "restart":
 						h := c.host(names[i])
 						h.stop()
-						time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+						<-time.After(time.Duration(random.IntN(3000)) * time.Millisecond)
 						h.start()
 					case "fill":
 						h := c.host(names[i])
 						h.full.Store(true)
-						time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
+						<-time.After(time.Duration(random.IntN(6000)) * time.Millisecond)
 						h.full.Store(false)
 					case "lose two":
 						down := []*host{c.host(names[i]), c.host(names[(i+1)%len(names)])}
@@ -88,12 +88,12 @@
 						if !c.propose("without two", 3*time.Second) {
 							c.t.Errorf("no change is accepted without two of five voters after %v", history)
 						}
-						time.Sleep(time.Duration(random.IntN(9000)) * time.Millisecond)
+						<-time.After(time.Duration(random.IntN(9000)) * time.Millisecond)
 						for _, h := range down {
 							h.start()
 						}
 					}
-					time.Sleep(testCatchUp)
+					<-time.After(testCatchUp)
 				}
 				if !c.checkVoters(names...) {
 					t.Logf("after %v", history)
@@ -106,7 +106,7 @@
 // replaceMachine removes a VM for good, and after a pause adds another one with an empty disk.
 func (c *cluster) replaceMachine(gone, added string, pause time.Duration) {
 	c.remove(gone)
-	time.Sleep(pause)
+	<-time.After(pause)
 	c.newHost(added).start()
 }
 
