mpquorum: Apply committed entries in batches between events

Cause: a new leader knows that the entries of its log are committed as soon as its own first entry is, and applied them all before the next event. Meanwhile it sent no heartbeats; after an election timeout another voter was elected. The followers were busy with the same entries and did not answer that one in time, so that it stepped down. The time grows with the log.

Change: a step returns at most 32 committed entries or 64 KiB, and the replica takes further steps while there are more, between messages, proposals and ticks. The lease still waits until all entries of earlier terms are applied.

Why it works: a batch takes less than a heartbeat interval, so a leader goes on leading while it applies, and followers answer.

--- a/core/process/mpquorum/log.go
+++ b/core/process/mpquorum/log.go
@@ -52,6 +52,18 @@
 	return l.entries[after-l.base : through-l.base : through-l.base]
 }
 
+// batchEnd returns the index of the last entry after the given one, up to through, that may be
+// applied with it in one step.
+func (l *memoryLog) batchEnd(after, through uint64) uint64 {
+	size := 0
+	for i, e := range l.between(after, min(through, after+maxAppliedEntries)) {
+		if size += len(e.Data); size > maxAppliedBytes && i > 0 {
+			return e.Index - 1
+		}
+	}
+	return min(through, after+maxAppliedEntries)
+}
+
 func (l *memoryLog) append(entries ...Entry) {
 	l.entries = append(l.entries, entries...)
 }
--- a/core/process/mpquorum/node.go
+++ b/core/process/mpquorum/node.go
@@ -13,6 +13,10 @@
 
 const (
 	entryOverheadBytes    = 32
+	// maxAppliedEntries and maxAppliedBytes bound the entries that the caller applies between
+	// two events, so that it takes less time than a heartbeat interval.
+	maxAppliedEntries = 32
+	maxAppliedBytes   = 64 << 10
 	maxAppendBytes        = 1 << 20
 	snapshotRetryInterval = 2 * time.Second
 	// leaderLeaseRatio is the duration of the leader lease relative to ElectionTimeout.
@@ -135,13 +139,18 @@
 	default:
 		panic(fmt.Sprintf("mpquorum: unknown event %T", e))
 	}
-	if n.appliedIndex < n.commitIndex {
-		n.actions.Committed = n.log.between(n.appliedIndex, n.commitIndex)
-		n.appliedIndex = n.commitIndex
+	if n.HasUnapplied() {
+		through := n.log.batchEnd(n.appliedIndex, n.commitIndex)
+		n.actions.Committed = n.log.between(n.appliedIndex, through)
+		n.appliedIndex = through
 	}
 	return n.actions, err
 }
 
+// HasUnapplied reports whether there are committed entries that Step has not returned yet. It
+// returns a batch of them with each event.
+func (n *Node) HasUnapplied() bool { return n.appliedIndex < n.commitIndex }
+
 // String returns the role's name as it appears in logs.
 func (r role) String() string {
 	switch r {
--- a/core/process/mpquorum/types.go
+++ b/core/process/mpquorum/types.go
@@ -135,7 +135,8 @@
 // leadership transfer).
 type Campaign struct{}
 
-// Actions is the result of a Step. The caller persists and syncs HardState, Snapshot and
+// Actions is the result of a Step. Committed holds a batch of the entries that are committed and
+// were not returned before. The caller persists and syncs HardState, Snapshot and
 // Entries before it sends Messages and applies Committed.
 type Actions struct {
 	HardState *HardState
--- a/core/process/mpreplica/cluster_test.go
+++ b/core/process/mpreplica/cluster_test.go
@@ -59,9 +59,12 @@
 type register struct {
 	mu    sync.Mutex
 	value string
+	// applyTime is how long it takes to apply a command.
+	applyTime time.Duration
 }
 
 func (g *register) Apply(_ uint64, command []byte) []byte {
+	<-time.After(g.applyTime)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.value = string(command)
@@ -107,6 +110,8 @@
 	nextID mpquorum.MemberID
 	// threshold is the size of the log that is compacted.
 	threshold int64
+	// applyTime is how long a voter that starts from now on takes to apply a command.
+	applyTime time.Duration
 }
 
 // runCluster calls test with a deployment of n voters, in virtual time.
@@ -184,7 +189,7 @@
 		return err
 	}
 	defer func() { _ = store.Close() }()
-	machine := &register{}
+	machine := &register{applyTime: h.c.applyTime}
 	logger := log.With(h.c.logger, "vm", h.vm)
 	r, err := New(Config{
 		Self: h.id, Address: h.vm, Store: disk{store, &h.full}, Recovered: recovered, StateMachine: machine, Sender: sender{h},
--- a/core/process/mpreplica/power_test.go
+++ b/core/process/mpreplica/power_test.go
@@ -82,3 +82,35 @@
 	}
 	_ = store.Close()
 }
+
+// TestLongLogAfterPowerLoss guards against a deployment that takes many elections to come back
+// after all voters restarted: a new leader applied its whole log at once and sent no heartbeats
+// meanwhile, so that another one was elected; its followers, busy with the same, did not answer
+// it, so that it stepped down.
+func TestLongLogAfterPowerLoss(t *testing.T) {
+	for _, entries := range []int{100, 1000, 3000} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			runCluster(t, 5, 1<<30, func(c *cluster) {
+				for i := range entries {
+					if !c.propose(fmt.Sprintf("change %d", i), time.Second) {
+						t.Fatal("not accepted")
+					}
+				}
+				term := c.leader().Status().Term
+				hosts := c.all()
+				for _, h := range hosts {
+					h.stop()
+				}
+				c.applyTime = time.Millisecond
+				for _, h := range hosts {
+					h.start()
+				}
+				limit := aimAfterPower + time.Duration(entries)*c.applyTime
+				c.await("a change is accepted", limit, func() bool { return c.propose("last", limit) })
+				if elections := c.leader().Status().Term - term; elections > 2 {
+					t.Errorf("%d elections, want 2 at most", elections)
+				}
+			})
+		})
+	}
+}
--- a/core/process/mpreplica/replica.go
+++ b/core/process/mpreplica/replica.go
@@ -169,9 +169,17 @@
 	defer close(r.stopped)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	ready := make(chan struct{})
+	close(ready)
 	for {
 		var err error
+		var unapplied chan struct{}
+		if r.node.HasUnapplied() {
+			unapplied = ready
+		}
 		select {
+		case <-unapplied:
+			err = r.tick(time.Now())
 		case <-r.quit:
 			r.failPending(mperror.ErrOutcomeUnknown)
 			return nil
