mpproxy: Let a stream that may not run again need as long as any of the latest

Found in reading the change: a leaving VM forwarded a stream that may not be resumed if 95 of 100 of its route's streams had time to end, so that one of twenty of those that come last could be cut off, against the rule that what may not be repeated is not forwarded without time to end.

The longest of the route's last 64 streams decides for those. The new case of TestRequestsOfLeavingVM failed before: /long/ was forwarded with 1 s left although one of its streams had taken 1.4 s. The route's timeout would be the strictest bound; it is several times what streams take, and would refuse all of them from the signal on.

--- a/core/request/mpproxy/leave.go
+++ b/core/request/mpproxy/leave.go
@@ -14,8 +14,10 @@
 	leaveMargin = 200 * time.Millisecond
 	// durationSamples is the number of requests of a route whose durations are kept.
 	durationSamples = 64
-	// usualShare is the share of a route's requests that take no longer than usual.
+	// usualShare is the share of a route's latest requests that take no longer than usual.
 	usualShare = 0.95
+	// allRequests is the share for requests that may not run again.
+	allRequests = 1.0
 )
 
 // durations holds how long the latest answered requests of each route took. It is safe for
@@ -44,9 +46,9 @@
 	r.count++
 }
 
-// usual returns how long usualShare of the latest requests of a route took at most, or false
-// if there were none.
-func (d *durations) usual(route string) (time.Duration, bool) {
+// longest returns how long a share of the latest requests of a route took at most, or false if
+// there were none.
+func (d *durations) longest(route string, share float64) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.routes[route]
@@ -55,7 +57,7 @@
 	}
 	sorted := slices.Clone(r.samples[:min(r.count, durationSamples)])
 	slices.Sort(sorted)
-	return sorted[int(usualShare*float64(len(sorted)-1))], true
+	return sorted[int(share*float64(len(sorted)-1))], true
 }
 
 // Leave lets the proxy refuse requests from now on that would not end before the process does,
@@ -90,15 +92,20 @@
 }
 
 // timeNeeded returns how long the request must be able to run before this process ends. One
-// that may not run again and is no stream needs all the time that its route allows.
+// that may not run again needs as long as any of the latest ones took or, if it is no stream,
+// all the time that its route allows. Streams seldom take a large part of theirs.
 func (e *exchange) timeNeeded() time.Duration {
 	spec := e.route.Spec()
 	limit := e.deadline.Sub(e.start)
 	if spec.Kind == mproute.NonIdempotent {
 		return limit
 	}
-	if usual, ok := e.p.durations.usual(spec.Name); ok {
-		return min(usual, limit)
+	share := usualShare
+	if !e.route.IsRepeatable() {
+		share = allRequests
+	}
+	if longest, ok := e.p.durations.longest(spec.Name, share); ok {
+		return min(longest, limit)
 	}
 	return limit
 }
--- a/core/request/mpproxy/leave_test.go
+++ b/core/request/mpproxy/leave_test.go
@@ -62,6 +62,30 @@
 			})
 		})
 	}
+	t.Run("a stream that may not run again needs as long as the longest one took", func(t *testing.T) {
+		for path, want := range map[string]int{"/tale/": http.StatusOK, "/long/": http.StatusServiceUnavailable} {
+			synctest.Test(t, func(t *testing.T) {
+				r := newHarness(t)
+				serve := func() answer {
+					q := request(path)
+					if path == "/long/" {
+						q.Pieces = []int{1, 1}
+					}
+					return r.serve(t.Context(), q)
+				}
+				r.p.cfg.Transport = slowTransport(1400 * time.Millisecond)
+				serve()
+				r.p.cfg.Transport = slowTransport(100 * time.Millisecond)
+				for range durationSamples - 1 {
+					serve()
+				}
+				r.p.Leave(time.Now().Add(time.Second))
+				if got := serve(); got.Status != want {
+					t.Errorf("%s: %+v, want status %d", path, got, want)
+				}
+			})
+		}
+	})
 	t.Run("what is refused was not sent", func(t *testing.T) {
 		r := newHarness(t, good)
 		r.p.Leave(time.Now().Add(500 * time.Millisecond))
