mpconsensus: Close the data directory when the voter cannot start

Found in reading the change: the log file stayed open when the replica refused the recovered state, once for each time that the directory is opened again.

--- a/core/process/mpconsensus/mpconsensus.go
+++ b/core/process/mpconsensus/mpconsensus.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -96,7 +97,7 @@
 		},
 	})
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, store.Close())
 	}
 	v.leader = mplead.New(mplead.Config{
 		Replica:       v.replica,
