review: Show that a request that may run once runs twice

Callers' requests without a body on non_idempotent and stream routes run twice if the upstream resets the connection after running them. They go over pooled connections, on which net/http itself repeats GET requests and those with an Idempotency-Key field.

--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// client asks the directory where to connect and keeps its connections.
+type client struct {
+	d    *deployment
+	key  string
+	http *http.Client
+	last atomic.Int64
+}
+
+func newClient(d *deployment, key string) *client {
+	return &client{d: d, key: key, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+}
+
+// resolve returns the address of a front machine.
+func (c *client) resolve() (string, error) {
+	m := c.d.machines[rand.IntN(len(c.d.machines))]
+	resp, err := shortClient.Get("http://" + c.d.address(m, c.d.ports.directory) + "/api/resolve?name=ladder.example&region=r&zone=a")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Addrs []string `json:"addrs"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || len(answer.Addrs) == 0 {
+		return "", fmt.Errorf("the directory answered %s", resp.Status)
+	}
+	return answer.Addrs[rand.IntN(len(answer.Addrs))], nil
+}
+
+// send makes one client attempt and returns its ID and the status of the answer, or 0 without one.
+// The header fields are pairs of names and values.
+func (c *client) send(address, method, path string, fields ...string) (id string, status int) {
+	id = fmt.Sprintf("%08x%08x", rand.Uint32(), c.last.Add(1))
+	req, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
+		return id, 0
+	}
+	req.Host = "ladder.example"
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", "600")
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	c.d.record.printf("client sends %s: %s %s %v", id, method, path, fields)
+	start := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.d.record.printf("client has no answer to %s after %v", id, time.Since(start).Round(time.Millisecond))
+		return id, 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	c.d.record.printf("client is answered %s: %d, seal %q, %d bytes, complete: %t", id, resp.StatusCode, resp.Header.Get("X-Response-Seal"), len(body), err == nil)
+	return id, resp.StatusCode
+}
