review: Show that an incomplete entry of the list is used

An entry without version, slots and coldLeftMs, as other writers may leave in the platform's list, is used as an upstream. If it names an upstream of another service, requests run there and callers get its answers.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -22,19 +22,37 @@
 	return &client{d: d, key: key, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
-// resolve returns the address of a front machine.
+// resolve returns the address of a front machine. It asks up to three machines.
 func (c *client) resolve() (string, error) {
-	m := c.d.machines[rand.IntN(len(c.d.machines))]
+	var lastErr error
+	for _, i := range rand.Perm(len(c.d.machines))[:3] {
+		address, err := c.ask(c.d.machines[i])
+		if err == nil {
+			return address, nil
+		}
+		lastErr = err
+	}
+	return "", lastErr
+}
+
+// ask asks the directory of m where to connect.
+func (c *client) ask(m *machine) (string, error) {
 	resp, err := shortClient.Get("http://" + c.d.address(m, c.d.ports.directory) + "/api/resolve?name=ladder.example&region=r&zone=a")
 	if err != nil {
 		return "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("the directory of %s answered %s", m.name, resp.Status)
+	}
 	var answer struct {
 		Addrs []string `json:"addrs"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || len(answer.Addrs) == 0 {
-		return "", fmt.Errorf("the directory answered %s", resp.Status)
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return "", err
+	}
+	if len(answer.Addrs) == 0 {
+		return "", fmt.Errorf("the directory of %s names no address", m.name)
 	}
 	return answer.Addrs[rand.IntN(len(answer.Addrs))], nil
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -71,6 +71,8 @@
 
 	mu      sync.Mutex
 	servers []*server
+	// foreign are entries of the platform's list that come from another writer.
+	foreign []map[string]any
 }
 
 // record writes what was sent, answered and run.
@@ -232,6 +234,7 @@
 				"id": s.id, "service": s.service, "addr": s.addr, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready", "coldLeftMs": 0,
 			})
 		}
+		rows = append(rows, d.foreign...)
 		d.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"instances": rows, "next": nil})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"replay": playReplay,
 	"keys":   playKeys,
+	"list":   playList,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -52,23 +52,26 @@
 	return errors.New(method + " " + path + " was not acknowledged")
 }
 
-// config is a configuration with one service of two kinds of requests.
+// config is a configuration with two services.
 func config(version int, tenants []map[string]any) []byte {
-	route := func(name, prefix, kind string, timeout int) map[string]any {
+	route := func(name, prefix, kind, service string, timeout int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "ladder.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "sloMs": 120, "priority": 2,
-			"service": "ladder-core", "attempts": 1, "stages": []any{}, "public": false, "sticky": false, "resumable": false, "gapTargetMs": 200,
+			"service": service, "attempts": 1, "stages": []any{}, "public": false, "sticky": false, "resumable": false, "gapTargetMs": 200,
 		}
 	}
 	body, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []any{
-			route("ladder-read", "/read/", "idempotent", 600), route("result-post", "/once/", "non_idempotent", 600),
-			route("season-recap", "/stream/", "stream", 12000),
+			route("ladder-read", "/read/", "idempotent", "ladder-core", 600), route("result-post", "/once/", "non_idempotent", "ladder-core", 600),
+			route("season-recap", "/stream/", "stream", "ladder-core", 12000), route("dues", "/dues/", "idempotent", "fee-ledger", 600),
 		},
-		"services": []any{map[string]any{"name": "ladder-core", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false, "coldS": 0, "coldPerS": 0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  tenants,
+		"services": []any{
+			map[string]any{"name": "ladder-core", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false, "coldS": 0, "coldPerS": 0},
+			map[string]any{"name": "fee-ledger", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false, "coldS": 0, "coldPerS": 0},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": tenants,
 	})
 	if err != nil {
 		panic(err) // Cannot fail: the values have simple types.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -19,7 +19,7 @@
 	connectionFrom string
 }
 
-// server is a server of the service ladder-core.
+// server is a server of a service.
 type server struct {
 	d                       *deployment
 	id, service, addr, zone string
@@ -30,13 +30,18 @@
 	losesAnswer func(r *http.Request, run int) bool
 }
 
+// addServer starts a server of the service ladder-core.
 func (d *deployment) addServer(zone string, losesAnswer func(r *http.Request, run int) bool) (*server, error) {
+	return d.addServerOf("ladder-core", zone, losesAnswer)
+}
+
+func (d *deployment) addServerOf(service, zone string, losesAnswer func(r *http.Request, run int) bool) (*server, error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", d.network, 101+len(d.servers)))
 	if err != nil {
 		return nil, err
 	}
 	d.listen = append(d.listen, l)
-	s := &server{d: d, id: fmt.Sprintf("i-%s-%d", zone, len(d.servers)+1), service: "ladder-core", addr: l.Addr().String(), zone: zone, losesAnswer: losesAnswer}
+	s := &server{d: d, id: fmt.Sprintf("i-%s-%d", zone, len(d.servers)+1), service: service, addr: l.Addr().String(), zone: zone, losesAnswer: losesAnswer}
 	go func() { _ = (&http.Server{Handler: s, IdleTimeout: 15 * time.Second}).Serve(l) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,7 +77,7 @@
 		}
 		return
 	}
-	_, _ = fmt.Fprintf(w, "answer of %s\n", id)
+	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.service, id)
 }
 
 func (s *server) recordRun(r *http.Request, id string) (lost bool) {
@@ -83,7 +88,7 @@
 		at: time.Now(), server: s, id: id, tenant: r.Header.Get("X-Tenant"), method: r.Method, path: r.URL.Path,
 		isAnswerLost: lost, connectionFrom: r.RemoteAddr,
 	})
-	s.d.record.printf("server %s in zone %s runs %s: %s %s, X-Tenant %q, from %s, answer lost: %t", s.id, s.zone, id, r.Method, r.URL.Path, r.Header.Get("X-Tenant"), r.RemoteAddr, lost)
+	s.d.record.printf("server %s of %s in zone %s runs %s: %s %s, X-Tenant %q, from %s, answer lost: %t", s.id, s.service, s.zone, id, r.Method, r.URL.Path, r.Header.Get("X-Tenant"), r.RemoteAddr, lost)
 	return lost
 }
 
