review: Show that streams get the results of other callers' pieces

If a stage server that fails some of its calls also repeats some answers, the copy of an answer without results is taken for that of the next call on the connection. Each later call then gets the results of the call before it, and streams run with other callers' inputs. Calls have no ID by which an answer could be matched, and only results are compared.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -71,6 +71,8 @@
 
 	mu      sync.Mutex
 	servers []*server
+	// stageServers are those of the servers that make pieces.
+	stageServers []*stageServer
 	// foreign are entries of the platform's list that come from another writer.
 	foreign []map[string]any
 }
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -52,20 +52,14 @@
 	return errors.New(method + " " + path + " was not acknowledged")
 }
 
-// config is a configuration with two services.
-func config(version int, tenants []map[string]any) []byte {
-	route := func(name, prefix, kind, service string, timeout int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "ladder.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "sloMs": 120, "priority": 2,
-			"service": service, "attempts": 1, "stages": []any{}, "public": false, "sticky": false, "resumable": false, "gapTargetMs": 200,
-		}
-	}
+// config is a configuration with two services. Routes may be added to it.
+func config(version int, tenants []map[string]any, more ...any) []byte {
 	body, err := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []any{
+		"routes": append([]any{
 			route("ladder-read", "/read/", "idempotent", "ladder-core", 600), route("result-post", "/once/", "non_idempotent", "ladder-core", 600),
 			route("season-recap", "/stream/", "stream", "ladder-core", 12000), route("dues", "/dues/", "idempotent", "fee-ledger", 600),
-		},
+		}, more...),
 		"services": []any{
 			map[string]any{"name": "ladder-core", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false, "coldS": 0, "coldPerS": 0},
 			map[string]any{"name": "fee-ledger", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false, "coldS": 0, "coldPerS": 0},
@@ -83,3 +77,11 @@
 func tenant(name string, keys ...string) map[string]any {
 	return map[string]any{"name": name, "apiKeys": append([]string{}, keys...), "priority": 1}
 }
+
+// route is a route of a configuration.
+func route(name, prefix, kind, service string, timeout int) map[string]any {
+	return map[string]any{
+		"name": name, "host": "ladder.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "sloMs": 120, "priority": 2,
+		"service": service, "attempts": 1, "stages": []any{}, "public": false, "sticky": false, "resumable": false, "gapTargetMs": 200,
+	}
+}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -11,12 +11,12 @@
 
 // run is one run of a request at a server.
 type run struct {
-	at             time.Time
-	server         *server
-	id, tenant     string
-	method, path   string
-	isAnswerLost   bool
-	connectionFrom string
+	at                   time.Time
+	server               *server
+	id, tenant           string
+	method, path, target string
+	isAnswerLost         bool
+	connectionFrom       string
 }
 
 // server is a server of a service.
@@ -85,7 +85,7 @@
 	defer s.mu.Unlock()
 	lost = s.losesAnswer != nil && s.losesAnswer(r, len(s.runs))
 	s.runs = append(s.runs, run{
-		at: time.Now(), server: s, id: id, tenant: r.Header.Get("X-Tenant"), method: r.Method, path: r.URL.Path,
+		at: time.Now(), server: s, id: id, tenant: r.Header.Get("X-Tenant"), method: r.Method, path: r.URL.Path, target: r.RequestURI,
 		isAnswerLost: lost, connectionFrom: r.RemoteAddr,
 	})
 	s.d.record.printf("server %s of %s in zone %s runs %s: %s %s, X-Tenant %q, from %s, answer lost: %t", s.id, s.service, s.zone, id, r.Method, r.URL.Path, r.Header.Get("X-Tenant"), r.RemoteAddr, lost)
