review: Show that paths with two leading slashes are changed

A request for //a/b reaches the upstream as http://a/b, so that it runs with another path and host, and past the routes of the plan. The request target is put into an opaque URL, to which net/http adds the scheme then.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"replay": playReplay,
 	"keys":   playKeys,
 	"list":   playList,
+	"paths":  playPaths,
 	"stages": playStages,
 }
 
