--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"keys":   playKeys,
 	"list":   playList,
 	"paths":  playPaths,
+	"chain":  playChain,
 	"stages": playStages,
 }
 
