--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,16 +1,19 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
 
-// client asks the directory where to connect and keeps its connections.
+// client asks the directory where to connect. It opens a connection for each request, so that its
+// HTTP transport never repeats a request by itself, and follows no redirects.
 type client struct {
 	d    *deployment
 	key  string
@@ -19,7 +22,10 @@
 }
 
 func newClient(d *deployment, key string) *client {
-	return &client{d: d, key: key, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	return &client{d: d, key: key, http: &http.Client{
+		Transport:     &http.Transport{DisableCompression: true, DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // resolve returns the address of a front machine. It asks up to three machines.
@@ -76,7 +82,14 @@
 	}
 	c.d.record.printf("client sends %s: %s %s %v", id, method, path, fields)
 	start := time.Now()
-	resp, err := c.http.Do(req)
+	// It waits no longer than it says.
+	deadline, err := strconv.Atoi(req.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		return id, 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(deadline)*time.Millisecond)
+	defer cancel()
+	resp, err := c.http.Do(req.WithContext(ctx))
 	if err != nil {
 		c.d.record.printf("client has no answer to %s after %v", id, time.Since(start).Round(time.Millisecond))
 		return id, 0
