mpproxy: Log and count attempts that the transport sends again

What a caller saw could not be told apart from a repeat of the proxy's own: a request that ran twice had one line, with one send. An attempt now counts the connections that it got, all of them as arrivals, checks that there is one at most (invariant.sendonce), and logs an error otherwise.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -260,17 +260,16 @@
 func (e *exchange) roundTrip(
 	ctx context.Context, row mplist.Row, timeout time.Duration, idleTimer *time.Timer, last bool,
 ) (attemptResult, mpselect.Outcome, string) {
-	connected, reused := false, false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
+	conns, reused := 0, false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conns, reused = conns+1, info.Reused }}
 	req := e.newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), row, timeout)
 	resp, err := e.p.cfg.Transport.RoundTrip(req)
-	if connected {
-		e.arrivals++
-	}
+	e.arrivals += conns
+	e.checkSentOnce(row, conns)
 	e.timeToHeader = e.p.cfg.Clock().Sub(e.sentAt)
 	if err != nil {
 		outcome := outcomeOfLoss(ctx, idleTimer)
-		if !connected {
+		if conns == 0 {
 			return refused, outcome, "connect: " + err.Error()
 		}
 		return failed, outcome, "send: " + err.Error()
@@ -296,6 +295,17 @@
 	return e.forwardBuffered(ctx, resp, idleTimer, last)
 }
 
+// checkSentOnce checks that an attempt used at most one connection. The transport may send a
+// request again by itself, which may run it twice.
+func (e *exchange) checkSentOnce(row mplist.Row, conns int) {
+	e.p.cfg.Metrics.Add("invariant.sendonce.checked", 1)
+	if conns > 1 {
+		e.p.cfg.Metrics.Add("invariant.sendonce.breached", 1)
+		_ = level.Error(e.p.cfg.Logger).Log("msg", "attempt sent again by the transport", "id", e.r.ID, "upstream", row.ID,
+			"method", e.r.Method, "connections", conns, "repeatable", e.route.IsRepeatable())
+	}
+}
+
 // outcomeOfLoss returns the outcome of an attempt whose connection was lost. The upstream
 // is not to blame if the caller has disconnected.
 func outcomeOfLoss(ctx context.Context, idleTimer *time.Timer) mpselect.Outcome {
