mpupstream, mporder: Write each request at most once

What callers saw: nothing; a request that may run once ran twice at its upstream when the first answer was lost (TWICE). It happened to GET requests, and to any request without a body that has an Idempotency-Key field.

Cause: http.Transport sends such requests again by itself when a reused connection breaks, and Request.Close, which was to give them a new connection, only closes the connection afterwards.

Change: mpupstream.Transport gives requests that may run once a connection of their own, on which net/http never repeats, and all others a form that net/http cannot send again. So repeats are left to the proxy, which knows what a route allows and counts them. Orders do not follow redirects, by which net/http sent them again.

Why it works: net/http decides by two things, whether the connection was reused and whether the body can be read again; each request now lacks one of the two.

--- a/core/connection/mpupstream/mpupstream.go
+++ b/core/connection/mpupstream/mpupstream.go
@@ -51,7 +51,7 @@
 	Attempt     uint64
 	// RequireEcho rejects a response that does not echo the attempt's ID.
 	RequireEcho bool
-	// NoRetry keeps the HTTP transport from retrying the call by itself.
+	// NoRetry is set for a call that must not be repeated. It gets a new connection.
 	NoRetry   bool
 	Remaining time.Duration
 }
@@ -83,44 +83,21 @@
 
 // Client sends attempts. It is safe for concurrent use.
 type Client struct {
-	pooled   *http.Client
-	unpooled *http.Client
+	transport *Transport
+	http      *http.Client
 }
 
-// New returns a client. Each call with NoRetry gets a connection of its own, because
-// the transport may retry a request after a reused connection breaks.
+// New returns a client. It sends each call on one connection only.
 func New() *Client {
-	return &Client{pooled: newHTTPClient(false), unpooled: newHTTPClient(true)}
-}
-
-func newHTTPClient(disableKeepAlives bool) *http.Client {
 	t := newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext, maxIdleConnsPerHost, idleConnTimeout)
-	t.DisableKeepAlives = disableKeepAlives
-	return &http.Client{
+	return &Client{transport: t, http: &http.Client{
 		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-// newTransport returns a transport that keeps up to maxIdlePerHost idle connections
-// per upstream for idleTimeout, requests no compression and uses no proxy.
-func newTransport(
-	dial func(ctx context.Context, network, address string) (net.Conn, error), maxIdlePerHost int, idleTimeout time.Duration,
-) *http.Transport {
-	return &http.Transport{
-		DialContext:            dial,
-		MaxIdleConnsPerHost:    maxIdlePerHost,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.unpooled.CloseIdleConnections()
-}
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Do sends call and returns the complete response. A response that ends with its connection
 // is complete only if it is a JSON object or array. Refusals for overload (429 and
@@ -172,11 +149,9 @@
 	if err != nil {
 		return nil, sent, &Failure{Err: mperror.Wrap(mperror.ErrInvalid, "request: %v", err)}
 	}
-	client := c.pooled
-	if call.NoRetry {
-		client = c.unpooled
-	}
-	resp, err := client.Do(req)
+	// An idle connection may close while the call is in transit, which leaves open whether it ran.
+	req.Close = call.NoRetry
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, sent, newFailure(ctx, sent.Load(), err)
 	}
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,6 +26,9 @@
 	tcpUserTimeout = 18
 )
 
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewDialer returns a dialer with local address source whose connections detect a
 // silent network partition.
 func NewDialer(source net.IP) *net.Dialer {
@@ -46,18 +51,95 @@
 	return d
 }
 
+// Transport writes each request to an upstream at most once. It is safe for concurrent use.
+//
+// When a reused connection breaks, http.Transport sends some requests again by itself, whether or not
+// the upstream has run them: those with a method that is safe by RFC 9110 or with an Idempotency-Key
+// field, if it can read the body again. Transport leaves that to its caller, which knows what may be
+// repeated and at what cost.
+type Transport struct {
+	// pooled keeps idle connections. unpooled makes one for each request, which http.Transport
+	// never replaces.
+	pooled, unpooled *http.Transport
+}
+
+var _ http.RoundTripper = (*Transport)(nil)
+
 // NewTransport returns a transport for proxying requests unchanged, over
 // connections made by dial. The bytes on them are counted in m.
-func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), m *mpmetric.Set) *http.Transport {
-	t := newTransport(dial, proxyMaxIdleConnsPerHost, proxyIdleConnTimeout)
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+func NewTransport(dial DialFunc, m *mpmetric.Set) *Transport {
+	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return &countedConn{Conn: conn, metrics: m}, nil
 	}
-	return t
+	return newTransport(counted, proxyMaxIdleConnsPerHost, proxyIdleConnTimeout)
+}
+
+// newTransport returns a transport that keeps up to maxIdlePerHost idle connections
+// per upstream for idleTimeout, requests no compression and uses no proxy.
+func newTransport(dial DialFunc, maxIdlePerHost int, idleTimeout time.Duration) *Transport {
+	t := &http.Transport{
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+	unpooled := t.Clone()
+	unpooled.DisableKeepAlives = true
+	return &Transport{pooled: t, unpooled: unpooled}
+}
+
+// RoundTrip sends req and returns the response. A request with Close set gets a new connection. Errors
+// are those of http.Transport.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	switch {
+	case req.Close:
+		return t.unpooled.RoundTrip(req)
+	case !isReplayable(req):
+		return t.pooled.RoundTrip(req)
+	case req.Body != nil && req.Body != http.NoBody:
+		req = req.WithContext(req.Context()) // A copy.
+		req.GetBody = nil
+		return t.pooled.RoundTrip(req)
+	case isSafe(req.Method):
+		// A body that cannot be read again. Without a length and with this encoding, which is the
+		// absence of one, net/http writes the same bytes as for no body.
+		req = req.WithContext(req.Context()) // A copy.
+		req.Body, req.GetBody, req.ContentLength = io.NopCloser(strings.NewReader("")), nil, 0
+		req.TransferEncoding = []string{"identity"}
+		return t.pooled.RoundTrip(req)
+	default:
+		// Other methods would lack the Content-Length field, which some upstreams insist on.
+		return t.unpooled.RoundTrip(req)
+	}
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() {
+	t.pooled.CloseIdleConnections()
+	t.unpooled.CloseIdleConnections()
+}
+
+// isReplayable reports whether http.Transport may send req again by itself, given a body that it can
+// read again.
+func isReplayable(req *http.Request) bool {
+	_, hasKey := req.Header["Idempotency-Key"]
+	_, hasOldKey := req.Header["X-Idempotency-Key"]
+	return isSafe(req.Method) || hasKey || hasOldKey
+}
+
+// isSafe reports whether a method is safe. Requests with such a method have no Content-Length field if
+// they have no body.
+func isSafe(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
 }
 
 // countedConn is a connection to an upstream that counts its bytes.
--- a/core/connection/mpupstream/transport_test.go
+++ b/core/connection/mpupstream/transport_test.go
@@ -80,7 +80,7 @@
 	e.remainders <- rest
 }
 
-func post(t *testing.T, client *http.Transport, e *earlyResponder, body []byte) string {
+func post(t *testing.T, client *Transport, e *earlyResponder, body []byte) string {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
 	defer cancel()
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpproposer"
 	"mustardpost.org/core/connection/mprelay"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpconsensus"
 	"mustardpost.org/core/process/mplead"
@@ -91,7 +91,7 @@
 	Upstreams   mplead.UpstreamLister
 	// DecodePlan returns the routing table of a published plan.
 	DecodePlan func(mpview.Routing) (*mproute.Table, error)
-	Transport  *http.Transport
+	Transport  *mpupstream.Transport
 	// Relay makes the connections of Transport.
 	Relay *mprelay.Dialer
 	// Metrics is the set to which the gateway adds the metrics of the process.
--- a/core/process/mpgateway/partition_test.go
+++ b/core/process/mpgateway/partition_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log"
 
 	"mustardpost.org/core/connection/mprelay"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpnotice"
@@ -244,7 +245,7 @@
 		addresses = append(addresses, r.Address)
 	}
 	vm.relay.SetUpstreams(addresses)
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 4 * time.Second, DialContext: vm.relay.DialContext}
+	transport := mpupstream.NewTransport(vm.relay.DialContext, mpmetric.New())
 	vm.relay.OnHealed(transport.CloseIdleConnections)
 	d.t.Cleanup(transport.CloseIdleConnections)
 	budget := mpbudget.New(mpbudget.Config{Ratio: 0.14, Burst: 4})
--- a/core/process/mporder/mporder.go
+++ b/core/process/mporder/mporder.go
@@ -45,9 +45,12 @@
 func New(cfg Config) *Executor {
 	return &Executor{
 		cfg: cfg,
-		// The transport retries requests only on reused connections, so a new
-		// connection for each order keeps it from sending an order twice.
-		client:    &http.Client{Timeout: SendTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		// The transport sends requests again only on reused connections, and the client
+		// only after redirects. Neither may send an order twice.
+		client: &http.Client{
+			Timeout: SendTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		scheduler: NewScheduler(time.Time{}),
 		results:   make(chan sendResult, 1024),
 	}
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -260,16 +261,26 @@
 func (e *exchange) roundTrip(
 	ctx context.Context, row mplist.Row, timeout time.Duration, idleTimer *time.Timer, last bool,
 ) (attemptResult, mpselect.Outcome, string) {
-	conns, reused := 0, false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conns, reused = conns+1, info.Reused }}
+	connected, reused := false, false
+	var writes atomic.Int32
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				writes.Add(1)
+			}
+		},
+	}
 	req := e.newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), row, timeout)
 	resp, err := e.p.cfg.Transport.RoundTrip(req)
-	e.arrivals += conns
-	e.checkSentOnce(row, conns)
+	if connected {
+		e.arrivals += max(int(writes.Load()), 1)
+	}
+	e.checkSentOnce(row, int(writes.Load()))
 	e.timeToHeader = e.p.cfg.Clock().Sub(e.sentAt)
 	if err != nil {
 		outcome := outcomeOfLoss(ctx, idleTimer)
-		if conns == 0 {
+		if !connected {
 			return refused, outcome, "connect: " + err.Error()
 		}
 		return failed, outcome, "send: " + err.Error()
@@ -295,14 +306,14 @@
 	return e.forwardBuffered(ctx, resp, idleTimer, last)
 }
 
-// checkSentOnce checks that an attempt used at most one connection. The transport may send a
-// request again by itself, which may run it twice.
-func (e *exchange) checkSentOnce(row mplist.Row, conns int) {
+// checkSentOnce checks that an attempt was written at most once, since a transport that sends a
+// request again by itself may run it twice.
+func (e *exchange) checkSentOnce(row mplist.Row, writes int) {
 	e.p.cfg.Metrics.Add("invariant.sendonce.checked", 1)
-	if conns > 1 {
+	if writes > 1 {
 		e.p.cfg.Metrics.Add("invariant.sendonce.breached", 1)
 		_ = level.Error(e.p.cfg.Logger).Log("msg", "attempt sent again by the transport", "id", e.r.ID, "upstream", row.ID,
-			"method", e.r.Method, "connections", conns, "repeatable", e.route.IsRepeatable())
+			"method", e.r.Method, "writes", writes, "repeatable", e.route.IsRepeatable())
 	}
 }
 
@@ -337,9 +348,8 @@
 		URL:    &url.URL{Scheme: "http", Host: row.Address, Opaque: e.r.Target},
 		Host:   e.r.Host,
 		Header: e.p.cfg.Dialect.Header(a),
-		// An idle keep-alive connection may close while the request is in transit,
-		// which leaves open whether it ran. Requests that must not run twice
-		// therefore use a new connection.
+		// An idle connection may close while the request is in transit, which leaves open
+		// whether it ran. Requests that must not run twice therefore use a new connection.
 		Close: !e.route.IsRepeatable(),
 	}
 	for _, h := range hopByHopHeaders {
