mpgateway, mpproxy: Log what a plan holds, and the account of a request

Whether a request ran without an account because its plan is old, because the plan has no accounts, or because it has accounts without keys could not be told from the log. 'plan in force' now has the numbers of routes, accounts and keys, and 'request' the account.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -356,7 +356,8 @@
 			return
 		}
 		g.table.Store(table)
-		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision())
+		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision(),
+			"routes", table.RouteCount(), "accounts", table.AccountCount(), "keys", table.KeyCount())
 	}
 	serving := vmNames(next.Serving())
 	g.selector.SetPeers(serving)
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -413,7 +413,7 @@
 	if e.cause != "" && !e.p.refusalSummaries.ShouldLog(e.cause, e.r.ID) {
 		return
 	}
-	_ = level.Info(e.p.cfg.Logger).Log("msg", "request", "id", e.r.ID, "route", route, "status", e.status,
+	_ = level.Info(e.p.cfg.Logger).Log("msg", "request", "id", e.r.ID, "route", route, "account", e.account, "status", e.status,
 		"reason", e.reason, "upstream", e.upstream, "version", e.version, "resumes", e.r.Resumes, "after", e.r.LastEventID, "sends", e.sends, "stages", e.stagesDuration, "head", e.timeToHeader, "first", e.timeToFirstEvent,
 		"pause", e.longestGap, "framing", e.framing, "tail", e.tail,
 		"took", e.p.cfg.Clock().Sub(e.start), "plan", e.table.Version())
--- a/core/version/mproute/table.go
+++ b/core/version/mproute/table.go
@@ -10,11 +10,10 @@
 
 // Table is a validated routing plan.
 type Table struct {
-	version  uint64
+	spec     Spec
 	hosts    map[string][]*Route
 	pools    map[string]*Pool
 	accounts map[string]*Account
-	limits   Limits
 }
 
 // Route is a validated route.
@@ -50,11 +49,10 @@
 // New validates s and returns its table, or an error that wraps ErrInvalid.
 func New(s Spec) (*Table, error) {
 	t := &Table{
-		version:  s.Version,
+		spec:     s,
 		hosts:    map[string][]*Route{},
 		pools:    map[string]*Pool{},
 		accounts: map[string]*Account{},
-		limits:   s.Limits,
 	}
 	if s.Version == 0 {
 		return nil, invalid("version is 0")
@@ -149,11 +147,11 @@
 	if t == nil {
 		return 0
 	}
-	return t.version
+	return t.spec.Version
 }
 
 // Limits returns the limits on requests from callers.
-func (t *Table) Limits() Limits { return t.limits }
+func (t *Table) Limits() Limits { return t.spec.Limits }
 
 // Find returns the route of host with the longest prefix that matches path, or
 // nil.
@@ -166,6 +164,15 @@
 	return nil
 }
 
+// RouteCount returns the number of routes.
+func (t *Table) RouteCount() int { return len(t.spec.Routes) }
+
+// AccountCount returns the number of accounts, also of those without a key.
+func (t *Table) AccountCount() int { return len(t.spec.Accounts) }
+
+// KeyCount returns the number of keys of all accounts.
+func (t *Table) KeyCount() int { return len(t.accounts) }
+
 // HasAccounts reports whether the plan has accounts, so that requests need a key.
 func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
 
