--- a/core/version/mplist/mplist_test.go
+++ b/core/version/mplist/mplist_test.go
@@ -78,3 +78,32 @@
 		}
 	})
 }
+
+// Guards against a list that became empty being taken for no list: VMs would keep upstreams that are
+// gone.
+func TestEmptyListIsAList(t *testing.T) {
+	at := time.Unix(100, 0)
+	empty, full := New(at, nil), New(at, rows())
+	if empty.Hash() == 0 {
+		t.Fatal("an empty list has the hash of no list")
+	}
+	data, err := empty.Encode(at)
+	if err != nil || len(data) == 0 {
+		t.Fatalf("encoded as %d bytes, %v", len(data), err)
+	}
+	whole, err := Decode(at, data, empty.Hash())
+	if err != nil {
+		t.Fatal(err)
+	}
+	patch, ok := empty.PatchFrom(full)
+	if !ok {
+		t.Fatal("no patch")
+	}
+	patched, err := full.Apply(at, patch, empty.Hash())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(whole.Rows()) + len(patched.Rows()); n > 0 {
+		t.Errorf("%d rows, want none", n)
+	}
+}
--- a/core/version/mproute/spec.go
+++ b/core/version/mproute/spec.go
@@ -113,17 +113,20 @@
 
 // Limits holds the limits on requests from callers.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
+	HeaderBytes int
+	// BodyBytes is nil if the plan does not limit bodies. A limit of 0 allows only empty ones.
+	BodyBytes     *int
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
 
 // Spec describes a complete routing plan.
 type Spec struct {
-	Version  uint64
-	Routes   []RouteSpec
-	Pools    []PoolSpec
+	Version uint64
+	Routes  []RouteSpec
+	Pools   []PoolSpec
+	// Accounts is nil if the plan lists no accounts, so that requests need no key. An empty list
+	// allows requests on public routes only.
 	Accounts []AccountSpec
 	Limits   Limits
 }
--- a/core/version/mproute/table.go
+++ b/core/version/mproute/table.go
@@ -173,11 +173,18 @@
 // KeyCount returns the number of keys of all accounts.
 func (t *Table) KeyCount() int { return len(t.accounts) }
 
-// HasAccounts reports whether the plan has accounts, so that requests need a key.
-func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+// HasAccounts reports whether the plan lists accounts, so that requests need a key. It does so even
+// if the list is empty or no account in it has a key: no request has a valid key then.
+func (t *Table) HasAccounts() bool { return t.spec.Accounts != nil }
 
-// Account returns the account that the key belongs to, or nil.
-func (t *Table) Account(key string) *Account { return t.accounts[key] }
+// Account returns the account that the key belongs to, or nil. The empty key, which requests without
+// a key have, belongs to none.
+func (t *Table) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return t.accounts[key]
+}
 
 // Pool returns the named pool, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
