mpcatalogue, mpcaller: Let nobody call an entry whose list of accounts is empty

What callers saw: once an operator had taken the last account from an entry's list, every account could call the entry.

Change: only an entry without a list may be called by all; the list is stored even if it is empty.

TestEntryWithoutAccountsAllowsNone failed before, for the empty list, and passes now.

--- a/core/connection/mpcaller/mpcaller.go
+++ b/core/connection/mpcaller/mpcaller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -217,15 +218,7 @@
 }
 
 func isAllowed(e mpcatalogue.Entry, account string) bool {
-	if len(e.Accounts) == 0 {
-		return true
-	}
-	for _, a := range e.Accounts {
-		if a == account {
-			return true
-		}
-	}
-	return false
+	return e.Accounts == nil || slices.Contains(e.Accounts, account)
 }
 
 func (s *Server) parsePayload(now time.Time, r *http.Request, req mppipeline.Request) (mppipeline.Request, *refusal) {
--- a/core/connection/mpcaller/mpcaller_test.go
+++ b/core/connection/mpcaller/mpcaller_test.go
@@ -276,3 +276,33 @@
 		t.Error("still refuses requests after the mark was removed")
 	}
 }
+
+// Guards against an entry whose last account was taken from its list: every account could call it.
+func TestEntryWithoutAccountsAllowsNone(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want bool
+	}{
+		"no list":        {`{"name":"rules"}`, true},
+		"empty list":     {`{"name":"rules","accounts":[]}`, false},
+		"another's list": {`{"name":"rules","accounts":["club"]}`, false},
+		"own list":       {`{"name":"rules","accounts":["ana"]}`, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent, restored mpcatalogue.Entry
+			if err := json.Unmarshal([]byte(c.text), &sent); err != nil {
+				t.Fatal(err)
+			}
+			snapshot, err := json.Marshal(sent)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := json.Unmarshal(snapshot, &restored); err != nil {
+				t.Fatal(err)
+			}
+			if got := [2]bool{isAllowed(sent, "ana"), isAllowed(restored, "ana")}; got != [2]bool{c.want, c.want} {
+				t.Errorf("allowed as sent and from a snapshot: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/core/version/mpcatalogue/document.go
+++ b/core/version/mpcatalogue/document.go
@@ -119,8 +119,8 @@
 	Name  string `json:"name"`
 	Owner string `json:"owner"`
 	Class string `json:"class"`
-	// Accounts lists the accounts that may call the entry; empty allows all.
-	Accounts []string `json:"accounts,omitempty"`
+	// Accounts lists the accounts that may call the entry; nil allows all, an empty list none.
+	Accounts []string `json:"accounts,omitzero"`
 	// Limit is the maximum number of the entry's requests in flight per VM;
 	// 0 means no limit.
 	Limit  int     `json:"limit,omitempty"`
