mpdial, mppeer, mpmember: Log the age and idle time of a connection that a renewal waits on

Whether a renewal that ends by its time limit waits on a connection that went silent, on a leader that is slow, or on a path that is cut could not be told from its DeadlineExceeded. 'lease not renewed' now has the age of the connection and for how long nothing was read from it, and is logged for each renewal that was not answered in time. The connections of peers are made by the dialer that upstreams have had, since gRPC limits unacknowledged bytes only on connections that it makes itself.

rename mpupstream.tcpUserTimeout -> mpdial.tcpUserTimeout

--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -189,11 +189,12 @@
 }
 
 // recordRenewal counts failed renewals. It logs the first of several, every failuresPerLog-th one
-// after it, and the first renewal that succeeds again.
+// after it, each that was not answered in time, and the first renewal that succeeds again.
 func (m *Member) recordRenewal(address string, err error) {
 	switch {
-	case err != nil && m.failures%failuresPerLog == 0:
-		_ = level.Warn(m.cfg.Logger).Log("msg", "lease not renewed", "peer", address, "failures", m.failures+1, "err", err)
+	case err != nil && (m.failures%failuresPerLog == 0 || status.Code(err) == codes.DeadlineExceeded):
+		age, idle := m.cfg.Client.Idle(time.Now(), address)
+		_ = level.Warn(m.cfg.Logger).Log("msg", "lease not renewed", "peer", address, "failures", m.failures+1, "age", age, "idle", idle, "err", err)
 	case err == nil && m.failures > 0:
 		_ = level.Info(m.cfg.Logger).Log("msg", "lease regained", "peer", address, "failures", m.failures)
 	}
--- a/core/connection/mpmember/mpmember_test.go
+++ b/core/connection/mpmember/mpmember_test.go
@@ -11,6 +11,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpflate"
+	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mpview"
@@ -96,7 +97,7 @@
 // Guards against VMs that begin anew each time that a busy leader is late to answer, which adds to
 // what it is late with.
 func TestTimeoutGrowsWhileTheLeaderIsLate(t *testing.T) {
-	m := New(Config{Logger: log.NewNopLogger()})
+	m := New(Config{Logger: log.NewNopLogger(), Client: mppeer.NewClient(mppeer.Config{})})
 	late, refused := status.Error(codes.DeadlineExceeded, "late"), status.Error(codes.Unavailable, "refused")
 	for i, c := range []struct {
 		err  error
--- a/core/connection/mppeer/client.go
+++ b/core/connection/mppeer/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/metadata"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 )
@@ -46,39 +47,56 @@
 // concurrent use.
 type Client struct {
 	cfg    Config
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	links map[string]*link
 }
 
 // NewClient returns a client without open connections.
 func NewClient(cfg Config) *Client {
-	c := &Client{cfg: cfg, conns: map[string]*grpc.ClientConn{}}
-	if cfg.LocalIP != nil {
-		c.dialer.LocalAddr = &net.TCPAddr{IP: cfg.LocalIP}
+	return &Client{
+		cfg:    cfg,
+		dialer: mpdial.New(mpdial.Config{Source: cfg.LocalIP, UnackedTimeout: keepaliveTimeout}),
+		links:  map[string]*link{},
 	}
-	return c
 }
 
 // Stub returns the gRPC stub for the peer at address.
 func (c *Client) Stub(address string) (mpwire.PeerClient, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		return mpwire.NewPeerClient(conn), nil
+	if l, ok := c.links[address]; ok {
+		return mpwire.NewPeerClient(l.conn), nil
 	}
-	conn, err := c.dial(address)
-	if err != nil {
+	l := &link{client: c, address: address}
+	var err error
+	if l.conn, err = c.dial(l); err != nil {
 		return nil, mperror.Wrap(err, "peer %s", address)
 	}
-	c.conns[address] = conn
-	return mpwire.NewPeerClient(conn), nil
+	c.links[address] = l
+	return mpwire.NewPeerClient(l.conn), nil
 }
 
-func (c *Client) dial(address string) (*grpc.ClientConn, error) {
+// Idle returns how long ago the connection to the peer at address was made, and for how long nothing
+// has been read from it. Both are 0 if there is none.
+func (c *Client) Idle(now time.Time, address string) (age, idle time.Duration) {
+	c.mu.Lock()
+	l := c.links[address]
+	c.mu.Unlock()
+	if l == nil {
+		return 0, 0
+	}
+	tcp := l.current()
+	if tcp == nil {
+		return 0, 0
+	}
+	return now.Sub(tcp.madeAt), now.Sub(tcp.readAt())
+}
+
+func (c *Client) dial(l *link) (*grpc.ClientConn, error) {
 	reconnect := backoff.Config{BaseDelay: initialBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff}
-	return grpc.NewClient("passthrough:///"+address,
+	return grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
@@ -90,9 +108,7 @@
 		grpc.WithUnaryInterceptor(c.authenticate),
 		grpc.WithStreamInterceptor(c.authenticateStream),
 		grpc.WithStatsHandler(trafficStats{c.cfg.Metrics}),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return c.dialer.DialContext(ctx, "tcp", address)
-		}),
+		grpc.WithContextDialer(l.dial),
 	)
 }
 
@@ -116,8 +132,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
+	for address, l := range c.links {
+		_ = l.conn.Close()
+		delete(c.links, address)
 	}
 }
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -6,24 +6,20 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 
+	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpusage"
 )
 
 const (
-	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// connection is closed, since links and machines can fail without a reset.
 	unackedTimeout           = 2 * time.Second
 	keepaliveIdle            = time.Second
 	keepaliveInterval        = 500 * time.Millisecond
 	keepaliveProbes          = 3
 	proxyIdleConnTimeout     = 4 * time.Second
 	proxyMaxIdleConnsPerHost = 16
-	// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
-	tcpUserTimeout = 18
 )
 
 // DialFunc connects to an address.
@@ -32,23 +28,12 @@
 // NewDialer returns a dialer with local address source whose connections detect a
 // silent network partition.
 func NewDialer(source net.IP) *net.Dialer {
-	d := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveProbes},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var err error
-			if ctl := c.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			}); ctl != nil {
-				return ctl
-			}
-			return err
-		},
-	}
-	if source != nil {
-		d.LocalAddr = &net.TCPAddr{IP: source}
-	}
-	return d
+	return mpdial.New(mpdial.Config{
+		Source:         source,
+		Timeout:        dialTimeout,
+		UnackedTimeout: unackedTimeout,
+		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveProbes},
+	})
 }
 
 // Transport writes each request to an upstream at most once. It is safe for concurrent use.
