mppeer, mpmember, mplead: Close connections that are open but silent

What callers saw: for seconds after an acknowledged change some VMs obeyed the old plan. Requests ran at the old service or were refused with 404 and 401 (CONFIG, DENIED).

Cause: calls that ran out of time left their connection in use. A VM whose connections had gone silent asked one voter after another over them, for 1.5 s each.

Change: a peer that has not answered 0.15 s after it should have is probed on the same connection, which is closed if nothing arrives for 0.2 s. If the peer answers on a new one, the other connections are checked too. A renewal goes to the same leader again, which grants it at once, and votes are sent again.

Why it works: any byte from the peer is a sign of life, so that a slow peer keeps its connection; one that sends none for 0.35 s while a call waits either has a silent connection, which a new one replaces, or loses nothing by a new one. A lease of 2 s outlasts the 1.15 s in which a renewal that is held for 0.8 s is known to be lost.

--- a/core/connection/mplease/holder.go
+++ b/core/connection/mplease/holder.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// MaxHold is how long a leader holds a renewal at most until there is a change. It is well below the
+// time after which VMs give up a renewal.
+const MaxHold = 800 * time.Millisecond
+
 // Holder holds a VM's own lease. It is safe for concurrent use.
 type Holder struct {
 	mu     sync.Mutex
--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -70,7 +70,7 @@
 	lease mplease.Holder
 
 	// failures counts consecutive failed renewals, timeouts those of them that the leader did not
-	// answer in time; only Run uses them.
+	// answer in time; only the goroutine of Run uses them.
 	failures, timeouts int
 
 	// lacksList is set if the changes of the list could not be applied; only Run uses it.
@@ -138,6 +138,7 @@
 // Run renews the lease until ctx ends.
 func (m *Member) Run(ctx context.Context) {
 	late := "" // The address that did not answer the last renewal in time.
+	wasSilent := false
 	for next := 0; ctx.Err() == nil; {
 		address := m.Leader()
 		if address == "" {
@@ -146,6 +147,12 @@
 		err := m.renew(ctx, address)
 		m.recordRenewal(address, err)
 		late = ""
+		if errors.Is(err, mppeer.ErrSilent) && !wasSilent {
+			wasSilent = true
+			m.SetLeader(address) // It may answer on a new connection.
+			continue
+		}
+		wasSilent = false
 		if err != nil {
 			if status.Code(err) == codes.DeadlineExceeded {
 				late = address
@@ -237,7 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
 	sent := time.Now()
-	reply, err := peer.Renew(ctx, m.request())
+	reply, err := peer.Renew(mppeer.WithHold(ctx, mplease.MaxHold), m.request())
 	if err != nil {
 		return err
 	}
@@ -292,6 +299,7 @@
 		Listed:   m.list.Hash(),
 		Holds:    true,
 		Packs:    true,
+		Regains:  m.failures > 0,
 	}
 	if m.lacksList {
 		r.Listed = 0
--- a/core/connection/mppeer/client.go
+++ b/core/connection/mppeer/client.go
@@ -1,21 +1,20 @@
 // Package mppeer connects the VMs of a deployment by gRPC. It uses no resolver,
-// load balancing, retries or service config of gRPC. Each call has a deadline, and
-// each connection has keepalive, so that a silent network partition is detected.
+// load balancing, retries or service config of gRPC. Connections that are open but
+// silent are closed, while a call waits within a second of when it should have been
+// answered, and otherwise by keepalive.
 package mppeer
 
 import (
-	"context"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/metadata"
 
-	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
@@ -39,8 +38,9 @@
 	Secret string
 	// LocalIP is the source IP address of connections; nil lets the system choose.
 	LocalIP net.IP
-	// Metrics receives the counts of calls and bytes.
+	// Metrics receives the counts of calls, bytes and silent connections.
 	Metrics *mpmetric.Set
+	Logger  log.Logger
 }
 
 // Client keeps one connection to each peer that it has called. It is safe for
@@ -55,6 +55,9 @@
 
 // NewClient returns a client without open connections.
 func NewClient(cfg Config) *Client {
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
 	return &Client{
 		cfg:    cfg,
 		dialer: mpdial.New(mpdial.Config{Source: cfg.LocalIP, UnackedTimeout: keepaliveTimeout}),
@@ -69,10 +72,9 @@
 	if l, ok := c.links[address]; ok {
 		return mpwire.NewPeerClient(l.conn), nil
 	}
-	l := &link{client: c, address: address}
-	var err error
-	if l.conn, err = c.dial(l); err != nil {
-		return nil, mperror.Wrap(err, "peer %s", address)
+	l, err := newLink(c, address)
+	if err != nil {
+		return nil, err
 	}
 	c.links[address] = l
 	return mpwire.NewPeerClient(l.conn), nil
@@ -105,29 +107,13 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithReadBufferSize(connBufferBytes),
 		grpc.WithWriteBufferSize(connBufferBytes),
-		grpc.WithUnaryInterceptor(c.authenticate),
-		grpc.WithStreamInterceptor(c.authenticateStream),
+		grpc.WithUnaryInterceptor(l.unary),
+		grpc.WithStreamInterceptor(l.stream),
 		grpc.WithStatsHandler(trafficStats{c.cfg.Metrics}),
 		grpc.WithContextDialer(l.dial),
 	)
 }
 
-func (c *Client) authenticate(
-	ctx context.Context, method string, req, reply any, conn *grpc.ClientConn,
-	invoke grpc.UnaryInvoker, opts ...grpc.CallOption,
-) error {
-	ctx = metadata.AppendToOutgoingContext(ctx, secretMetadataKey, c.cfg.Secret)
-	return invoke(ctx, method, req, reply, conn, opts...)
-}
-
-func (c *Client) authenticateStream(
-	ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string,
-	open grpc.Streamer, opts ...grpc.CallOption,
-) (grpc.ClientStream, error) {
-	ctx = metadata.AppendToOutgoingContext(ctx, secretMetadataKey, c.cfg.Secret)
-	return open(ctx, desc, conn, method, opts...)
-}
-
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/core/connection/mppeer/sender.go
+++ b/core/connection/mppeer/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -85,14 +86,13 @@
 	return EncodeEnvelopes(list)
 }
 
+// flush sends a batch, and once more over a new connection if that of the first call is silent: the
+// messages may be those of an election.
 func (s *Sender) flush(address string, batch [][]byte) {
-	peer, err := s.client.Stub(address)
-	if err != nil {
-		return
+	reply, err := s.step(address, batch)
+	if errors.Is(err, ErrSilent) {
+		reply, err = s.step(address, batch)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, stepTimeout)
-	defer cancel()
-	reply, err := peer.Step(ctx, &mpwire.StepRequest{Messages: batch})
 	if err != nil {
 		return // The replication protocol resends lost messages.
 	}
@@ -101,6 +101,16 @@
 	}
 }
 
+func (s *Sender) step(address string, batch [][]byte) (*mpwire.StepReply, error) {
+	peer, err := s.client.Stub(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, stepTimeout)
+	defer cancel()
+	return peer.Step(ctx, &mpwire.StepRequest{Messages: batch})
+}
+
 // DecodeEnvelopes decodes the messages of a StepRequest or StepReply.
 func DecodeEnvelopes(encoded [][]byte) ([]mpquorum.Envelope, error) {
 	list := make([]mpquorum.Envelope, len(encoded))
--- a/core/connection/mppeer/server.go
+++ b/core/connection/mppeer/server.go
@@ -17,6 +17,13 @@
 	"mustardpost.org/core/process/mpmetric"
 )
 
+// serverKeepaliveInterval and serverKeepaliveTimeout bound how long the server keeps a silent
+// connection, which its client has replaced.
+const (
+	serverKeepaliveInterval = time.Minute
+	serverKeepaliveTimeout  = 5 * time.Second
+)
+
 // Server is the gRPC server on a VM's peer address.
 type Server struct {
 	grpc *grpc.Server
@@ -42,6 +49,7 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(connBufferBytes),
 		grpc.WriteBufferSize(connBufferBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverKeepaliveInterval, Timeout: serverKeepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.UnaryInterceptor(authorize(cfg.Secret)),
 		grpc.StreamInterceptor(authorizeStream(cfg.Secret)),
--- a/core/connection/mpproposer/mpproposer.go
+++ b/core/connection/mpproposer/mpproposer.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	out, err := peer.Propose(ctx, req)
 	if err != nil {
-		if status.Code(err) == codes.Unavailable {
+		if status.Code(err) == codes.Unavailable && !errors.Is(err, mppeer.ErrSilent) {
 			p.cfg.LeaderHint.SetLeader("")
 		}
 		return Reply{}, classifyError(err)
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -78,7 +78,7 @@
 		admission:    mpadmit.New(mpadmit.Config{MaxRequests: s.MaxRequests}),
 		voterService: &mpconsensus.Service{IsVoter: s.IsVoter()},
 	}
-	d.client = mppeer.NewClient(mppeer.Config{Secret: s.Secret, LocalIP: s.LocalIP(), Metrics: d.metrics})
+	d.client = mppeer.NewClient(mppeer.Config{Secret: s.Secret, LocalIP: s.LocalIP(), Metrics: d.metrics, Logger: cfg.Logger})
 	d.member = mpmember.New(mpmember.Config{
 		Self:   mpview.VM{Name: s.VM, DC: s.DC, Boot: d.boot, Address: s.CallerAddress, Peer: s.PeerAddress},
 		Voters: s.VoterPeers,
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -145,7 +145,7 @@
 		quarantine:   mpquarantine.New(),
 		notices:      mpnotice.New(),
 	}
-	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics})
+	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics, Logger: cfg.Logger})
 	g.quotas = &quotas{
 		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}),
 		ownShare: newOwnShare(), silent: newSilence(), metrics: g.metrics, logger: cfg.Logger,
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -33,9 +33,8 @@
 	driftMarginDivisor  = 20
 	minDriftMargin      = 50 * time.Millisecond
 	renewHoldDivisor    = 4
-	// maxHold is how long a renewal is held of a VM that adds that time to its lease, at most
-	// maxHoldShare of the lease. It is well below the time after which VMs give up a renewal.
-	maxHold          = 800 * time.Millisecond
+	// maxHoldShare limits how long a renewal is held of a VM that adds that time to its lease,
+	// relative to the lease. mplease.MaxHold limits it too.
 	maxHoldShare     = 0.4
 	platformInterval = time.Second
 	// settleTimePerVM is how long a change that is not urgent waits for others, for each VM, so
@@ -248,20 +247,21 @@
 // hold returns how long a renewal is held at most.
 func (l *Leader) hold(r *mpwire.RenewRequest) time.Duration {
 	if r.GetHolds() {
-		return min(time.Duration(maxHoldShare*float64(l.cfg.LeaseDuration)), maxHold)
+		return min(time.Duration(maxHoldShare*float64(l.cfg.LeaseDuration)), mplease.MaxHold)
 	}
 	return l.cfg.LeaseDuration / renewHoldDivisor
 }
 
 // waitForUpdate waits until the VM lacks a revision, the current list of upstreams or a limit,
-// for as long as its renewal may be held. Changes that are not urgent are collected for a while.
+// for as long as its renewal may be held. Changes that are not urgent are collected for a while. A VM
+// that regains its lease is answered at once.
 func (l *Leader) waitForUpdate(ctx context.Context, r *mpwire.RenewRequest) {
 	changed := l.cfg.StateMachine.Changed()
 	urgent, urgentChanged := l.cfg.StateMachine.Urgent()
 	l.mu.Lock()
 	list, listChanged, limitsChanged := l.upstreamList, l.upstreamListChanged, l.limitsChanged
 	l.mu.Unlock()
-	if r.GetRevision() < max(urgent, 1) || hasStaleList(r, list) || hasStaleLimits(r, l.limits) {
+	if r.GetRegains() || r.GetRevision() < max(urgent, 1) || hasStaleList(r, list) || hasStaleLimits(r, l.limits) {
 		return
 	}
 	hold := l.hold(r)
