mplink, mpsoak: Silence open connections between VMs in both soaks

The relay of mustardfake's soak becomes the package mplink, which the test of mppeer and the soak of the platform's program use too.

Both soaks now silence some or all open connections every two to six seconds, while other faults and changes go on.

rename mpsoak.partitions -> mplink.Network

--- a/core/connection/mppeer/silent_test.go
+++ b/core/connection/mppeer/silent_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/connection/mplease"
+	"mustardpost.org/core/connection/mplink"
 	"mustardpost.org/core/connection/mpmember"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mprelay"
@@ -33,93 +34,14 @@
 	lease    = 2 * time.Second
 )
 
-// proxy passes the bytes of connections on. It can silence the open ones: their ends stay open and
-// acknowledge what they get, but nothing arrives. New ones work.
+// proxy stands in for the network in front of a peer.
 type proxy struct {
-	address, target string
-
-	mu    sync.Mutex
-	conns map[net.Conn]*silencer
-}
-
-type silencer struct {
-	mu       sync.Mutex
-	isSilent bool
-}
-
-func (s *silencer) silent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.isSilent
-}
-
-func startProxy(t *testing.T, target string) *proxy {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &proxy{address: l.Addr().String(), target: target, conns: map[net.Conn]*silencer{}}
-	t.Cleanup(func() {
-		_ = l.Close()
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for c := range p.conns {
-			_ = c.Close()
-		}
-	})
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", target)
-			if err != nil {
-				_ = in.Close()
-				continue
-			}
-			s := &silencer{}
-			p.mu.Lock()
-			p.conns[in], p.conns[out] = s, s
-			p.mu.Unlock()
-			go pass(in, out, s)
-			go pass(out, in, s)
-		}
-	}()
-	return p
-}
-
-func pass(from, to net.Conn, s *silencer) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		if s.silent() {
-			if err != nil {
-				return // The other end does not learn of it.
-			}
-			continue
-		}
-		if err == nil {
-			_, err = to.Write(buf[:n])
-		}
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-	}
+	address string
+	network *mplink.Network
 }
 
 // silence silences the open connections.
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.conns {
-		s.mu.Lock()
-		s.isSilent = true
-		s.mu.Unlock()
-	}
-}
+func (p *proxy) silence() { p.network.Silence(func(string, string) bool { return true }) }
 
 // peer is a VM that leads. It holds renewals, and makes pieces for as long as the call waits.
 type peer struct {
@@ -196,19 +118,31 @@
 // startPeer returns a proxy in front of a new peer.
 func startPeer(t *testing.T) (*peer, *proxy) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	_ = l.Close()
+	address := freeAddress(t)
 	p := &peer{}
 	s, err := mppeer.Serve(mppeer.ServerConfig{Address: address, Secret: testSecret, Peer: p, Metrics: mpmetric.New()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Stop)
-	return p, startProxy(t, address)
+	front := &proxy{address: freeAddress(t), network: mplink.New()}
+	relay, err := front.network.Relay(front.address, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = relay.Close() })
+	return p, front
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	return l.Addr().String()
 }
 
 func newClient(t *testing.T) (*mppeer.Client, *mpmetric.Set) {
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -65,8 +65,10 @@
 	// CallerAddress is the address that callers connect to; empty if this VM serves no
 	// callers.
 	CallerAddress string
-	// PeerAddress is the address that other VMs connect to.
-	PeerAddress string
+	// PeerAddress is the address that other VMs connect to, and PeerBindAddress the one to listen
+	// on for them.
+	PeerAddress     string
+	PeerBindAddress string
 	// LocalIP is the local IP address for calls to peers.
 	LocalIP net.IP
 	// Secret is shared by all VMs of the deployment and authenticates peers.
@@ -248,7 +250,7 @@
 // component that cannot continue. When leave is done, it stops waiting for other voters.
 func (g *Gateway) Run(ctx, leave context.Context) error {
 	peers, err := mppeer.Serve(mppeer.ServerConfig{
-		Address: g.cfg.PeerAddress,
+		Address: g.cfg.PeerBindAddress,
 		Secret:  g.cfg.Secret,
 		Peer:    peer{Service: g.voterService, gateway: g},
 		Metrics: g.metrics,
--- a/mustardfake/internal/mpsoak/faults_test.go
+++ b/mustardfake/internal/mpsoak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -160,14 +161,29 @@
 			continue
 		}
 		if direction != 0 {
-			d.partitions.block(p.ip, other.ip)
+			d.network.Block(p.ip, other.ip)
 		}
 		if direction != 1 {
-			d.partitions.block(other.ip, p.ip)
+			d.network.Block(other.ip, p.ip)
 		}
 	}
 	d.sleepRandom(1000, 4000)
-	return d.partitions.heal
+	return d.network.Heal
+}
+
+// severConnections silences open connections between VMs for good, some or all of them each time,
+// while other faults and changes go on. It returns the number of connections.
+func (d *deployment) severConnections(r *rand.Rand, stop <-chan struct{}) int {
+	severed := 0
+	for {
+		select {
+		case <-stop:
+			return severed
+		case <-time.After(time.Duration(2000+r.IntN(4000)) * time.Millisecond):
+		}
+		share := 0.3 + 0.8*r.Float64()
+		severed += d.network.Silence(func(string, string) bool { return r.Float64() < share })
+	}
 }
 
 func (d *deployment) crashUpstream() func() {
--- a/mustardfake/internal/mpsoak/soak_test.go
+++ b/mustardfake/internal/mpsoak/soak_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"mustardpost.org/core/connection/mplink"
 	"mustardpost.org/core/connection/mpoperator"
 	"mustardpost.org/core/version/mpcatalogue"
 	"mustardpost.org/core/version/mpstate"
@@ -63,7 +64,7 @@
 	rand        *rand.Rand
 	layout      mpsample.Layout
 	dir         string
-	partitions  *partitions
+	network     *mplink.Network
 	vms         []*process
 	http        *http.Client
 	faults      map[string]int
@@ -101,13 +102,13 @@
 		t.Fatal(err)
 	}
 	d := &deployment{
-		t: t, rand: rand.New(rand.NewPCG(seed, 2)), layout: layout, dir: dir, partitions: newPartitions(),
+		t: t, rand: rand.New(rand.NewPCG(seed, 2)), layout: layout, dir: dir, network: mplink.New(),
 		http: &http.Client{Timeout: 15 * time.Second}, faults: map[string]int{}, changes: map[string]uint64{},
 	}
 	for i, s := range layout.VMs {
 		ip, _, _ := strings.Cut(s.PeerBindAddress, ":")
 		d.vms = append(d.vms, &process{vm: s.VM, settingsFile: layout.SettingsFiles[i], dataDir: s.DataDir, voter: s.IsVoter(), ip: ip})
-		closer, err := relay(s.PeerAddress, s.PeerBindAddress, d.partitions)
+		closer, err := d.network.Relay(s.PeerAddress, s.PeerBindAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -172,7 +173,7 @@
 }
 
 func (d *deployment) stopAll() {
-	d.partitions.heal()
+	d.network.Heal()
 	for _, p := range d.vms {
 		if p.cmd != nil {
 			d.stop(p, syscall.SIGKILL)
@@ -348,10 +349,14 @@
 	result := make(chan mpload.Summary, 1)
 	go func() { result <- mpload.Run(ctx, p) }()
 	end := time.Now().Add(duration)
+	stop, severed := make(chan struct{}), make(chan int)
+	go func() { severed <- d.severConnections(rand.New(rand.NewPCG(seed, 7)), stop) }()
 	for time.Now().Before(end) {
 		d.injectFault()
 		d.restartExited()
 	}
+	close(stop)
+	d.faults["severed connections"] = <-severed
 	d.recover()
 	cancel()
 	s := <-result
@@ -440,7 +445,7 @@
 
 // recover undoes all faults and waits until all VMs are up and all voters vote.
 func (d *deployment) recover() {
-	d.partitions.heal()
+	d.network.Heal()
 	for _, p := range d.vms {
 		d.resume(p)
 		if !p.shouldRun {
