mppeer, mpstage: Give a peer whose connection is silent again more time

A slow link on which much is sent may delay the answer to a probe again and again, so that a transfer would never end: a connection that is silent again within ten seconds is given up to eight times as long.

--- a/core/connection/mppeer/link.go
+++ b/core/connection/mppeer/link.go
@@ -247,7 +247,7 @@
 	l.client.cfg.Metrics.Add("peer.silent", 1)
 	answered := l.ask(confirmTimeout)
 	l.mu.Lock()
-	l.liveness.Confirm(answered)
+	l.liveness.Confirm(time.Now(), answered)
 	l.mu.Unlock()
 	_ = level.Warn(l.client.cfg.Logger).Log("msg", "silent connection closed", "peer", l.address,
 		"age", now.Sub(tcp.madeAt), "idle", now.Sub(readAt), "answers", answered)
--- a/core/connection/mppeer/liveness.go
+++ b/core/connection/mppeer/liveness.go
@@ -7,9 +7,11 @@
 	// before it is probed on the same connection.
 	quietTime = 150 * time.Millisecond
 	// probeTimeout is how long a peer may take to answer a probe. It doubles, at most
-	// maxDoublings times, for a peer that did not answer on a new connection either.
+	// maxDoublings times, for a peer that did not answer on a new connection either, or whose
+	// connection was silent again within settleTime.
 	probeTimeout = 200 * time.Millisecond
 	maxDoublings = 3
+	settleTime   = 10 * time.Second
 	// probeInterval is the time between two probes during a call that a peer is slow to answer.
 	probeInterval = 500 * time.Millisecond
 )
@@ -24,7 +26,9 @@
 	// probedAt is when the running probe was sent, or zero. answeredAt is when the last probe
 	// was answered.
 	probedAt, answeredAt time.Time
-	doublings            int
+	// silentAt is when a connection to the peer was last found silent, or zero.
+	silentAt  time.Time
+	doublings int
 }
 
 func newLiveness() *liveness { return &liveness{due: map[uint64]time.Time{}} }
@@ -64,6 +68,9 @@
 		return 0, false
 	}
 	l.probedAt = now
+	if now.Sub(l.silentAt) > settleTime {
+		l.doublings = 0
+	}
 	return l.timeout(), true
 }
 
@@ -82,11 +89,13 @@
 }
 
 // Confirm records whether the peer answered on a new connection, after the old one was closed since it
-// was silent. One that did not is slow, down or cut off, and is given more time.
-func (l *liveness) Confirm(answered bool) {
-	if answered {
+// was silent. One that did not is slow, down or cut off, and one that goes silent again and again may
+// have a link that is slow for what is sent on it. Both are given more time.
+func (l *liveness) Confirm(now time.Time, answered bool) {
+	if answered && now.Sub(l.silentAt) > settleTime {
 		l.doublings = 0
 	} else {
 		l.doublings = min(l.doublings+1, maxDoublings)
 	}
+	l.silentAt = now
 }
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -27,6 +27,8 @@
 	probeDelay    = 400 * time.Millisecond
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
+	// maxMakeTime keeps the connection from probing the owner earlier than that.
+	maxMakeTime = time.Hour
 	// unresponsivePeriod is how long an owner that did not answer is ranked last.
 	unresponsivePeriod = 3 * time.Second
 	// maxOwners limits the number of owners that one stage is sent to in turn.
@@ -194,7 +196,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go r.probeOwner(ctx, peer, cancel)
-	reply, err := peer.Make(ctx, encodeRequest(r.cfg.Clock(), s, spec))
+	reply, err := peer.Make(mppeer.WithHold(ctx, maxMakeTime), encodeRequest(r.cfg.Clock(), s, spec))
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errOwnerUnresponsive) {
 			return nil, errOwnerUnresponsive
