mppeer: Probe rather than close doubted connections with open streams

A stream by way of another VM whose upstream pauses for more than 0.2 s was broken off on a connection that works, once the connection to a third VM had turned out to be silent. TestStreamOutlivesDoubt failed before and passes now.

--- a/core/connection/mppeer/link.go
+++ b/core/connection/mppeer/link.go
@@ -57,6 +57,8 @@
 	mu       sync.Mutex
 	tcp      *trackedConn
 	liveness *liveness
+	// streams is the number of open streams.
+	streams int
 }
 
 func newLink(c *Client, address string) (*link, error) {
@@ -269,11 +271,11 @@
 	}
 }
 
-// doubt closes the connection if it is idle, or else probes the peer, unless something was read from
-// it since the given time.
+// doubt closes the connection if it has no call and no stream, or else probes the peer, unless
+// something was read from it since the given time.
 func (l *link) doubt(now, since time.Time) {
 	l.mu.Lock()
-	tcp, isBusy := l.tcp, l.liveness.IsBusy()
+	tcp, isBusy := l.tcp, l.liveness.IsBusy() || l.streams > 0
 	l.mu.Unlock()
 	switch {
 	case tcp == nil || !tcp.isOpen() || !tcp.readAt().Before(since):
@@ -322,6 +324,9 @@
 	if err != nil {
 		return nil, err
 	}
+	l.mu.Lock()
+	l.streams++
+	l.mu.Unlock()
 	return &watchedStream{ClientStream: s, link: l}, nil
 }
 
@@ -330,8 +335,9 @@
 	grpc.ClientStream
 	link *link
 
-	mu   sync.Mutex
-	done func(error) error
+	mu       sync.Mutex
+	done     func(error) error
+	hasEnded bool
 }
 
 func (s *watchedStream) SendMsg(m any) error {
@@ -346,9 +352,14 @@
 func (s *watchedStream) RecvMsg(m any) error {
 	err := s.ClientStream.RecvMsg(m)
 	s.mu.Lock()
-	done := s.done
-	s.done = nil
+	done, ends := s.done, err != nil && !s.hasEnded
+	s.done, s.hasEnded = nil, s.hasEnded || ends
 	s.mu.Unlock()
+	if ends {
+		s.link.mu.Lock()
+		s.link.streams--
+		s.link.mu.Unlock()
+	}
 	if done != nil {
 		return done(err)
 	}
--- a/core/connection/mppeer/silent_test.go
+++ b/core/connection/mppeer/silent_test.go
@@ -304,6 +304,36 @@
 	}
 }
 
+// Guards against streams by way of another VM that are broken off, on a connection that works, because
+// one to a third VM is silent.
+func TestStreamOutlivesDoubt(t *testing.T) {
+	client, metrics := newClient(t)
+	_, silent := startPeer(t)
+	_, sound := startPeer(t)
+	free(t, stub(t, client, silent))
+	conn, err := mprelay.Open(t.Context(), stub(t, client, sound), "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	}()
+	silent.silence()
+	if _, err := stub(t, client, silent).Free(t.Context(), &mpwire.FreeRequest{}); !errors.Is(err, mppeer.ErrSilent) {
+		t.Errorf("got %v, want ErrSilent", err)
+	}
+	select {
+	case err := <-ended:
+		t.Errorf("the stream was broken off: %v", err)
+	case <-time.After(noticeTime):
+	}
+	if n := metrics.Count("peer.silent"); n != 1 {
+		t.Errorf("%d connections were closed as silent, want 1", n)
+	}
+}
+
 // Guards against connections to a slow peer that are closed while it works, so that its work is lost.
 func TestSlowPeerKeepsItsConnection(t *testing.T) {
 	_, p := startPeer(t)
