mppeer, mpdial, mpstage: Keep one type for dialing, and let a test of peers that are down fail

TestPeerThatIsDownIsNotSilent called a peer that had never had a connection, so it could not fail. It now refuses new connections to a peer whose connection was silent, and fails if calls begun without an open connection count as silent. mpupstream had a second copy of the type of a dial function; the comment on maxMakeTime did not say what it is longer than.

rename mprelay.DialFunc -> mpdial.Func rename mpupstream.DialFunc -> mpdial.Func

--- a/core/connection/mpdial/mpdial.go
+++ b/core/connection/mpdial/mpdial.go
@@ -2,6 +2,7 @@
 package mpdial
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -10,6 +11,9 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
 const tcpUserTimeout = 18
 
+// Func connects to an address.
+type Func func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Config configures a dialer.
 type Config struct {
 	// Source is the local address; nil lets the system choose.
--- a/core/connection/mppeer/silent_test.go
+++ b/core/connection/mppeer/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -38,6 +39,7 @@
 type proxy struct {
 	address string
 	network *mplink.Network
+	relay   io.Closer
 }
 
 // silence silences the open connections.
@@ -130,6 +132,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	front.relay = relay
 	t.Cleanup(func() { _ = relay.Close() })
 	return p, front
 }
@@ -353,13 +356,13 @@
 	client, _ := newClient(t)
 	s := stub(t, client, p)
 	free(t, s)
+	_ = p.relay.Close() // New connections are refused.
 	p.silence()
 	if _, err := s.Free(t.Context(), &mpwire.FreeRequest{}); !errors.Is(err, mppeer.ErrSilent) {
 		t.Fatalf("got %v, want ErrSilent", err)
 	}
-	dead := stub(t, client, &proxy{address: "127.0.0.1:1"})
 	for range 3 {
-		if _, err := dead.Free(t.Context(), &mpwire.FreeRequest{}); err == nil || errors.Is(err, mppeer.ErrSilent) {
+		if _, err := s.Free(t.Context(), &mpwire.FreeRequest{}); err == nil || errors.Is(err, mppeer.ErrSilent) {
 			t.Errorf("got %v, want another error", err)
 		}
 	}
--- a/core/connection/mprelay/dialer.go
+++ b/core/connection/mprelay/dialer.go
@@ -17,6 +17,7 @@
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mprank"
 	"mustardpost.org/core/common/mptime"
+	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/process/mpmetric"
 )
 
@@ -37,9 +38,6 @@
 	checkInterval = 250 * time.Millisecond
 )
 
-// DialFunc connects to an address.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Peer is another VM.
 type Peer struct {
 	Name string
@@ -54,7 +52,7 @@
 type Config struct {
 	DC string
 	// Direct connects over the VM's own path.
-	Direct  DialFunc
+	Direct  mpdial.Func
 	Metrics *mpmetric.Set
 	Logger  log.Logger
 }
--- a/core/connection/mprelay/tunnel_test.go
+++ b/core/connection/mprelay/tunnel_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
@@ -29,7 +30,7 @@
 
 func (s relayServer) Tunnel(stream mpwire.Peer_TunnelServer) error { return s.d.ServeTunnel(stream) }
 
-func newDialer(direct DialFunc, upstreams ...string) *Dialer {
+func newDialer(direct mpdial.Func, upstreams ...string) *Dialer {
 	d := New(Config{DC: "a", Direct: direct, Metrics: mpmetric.New(), Logger: log.NewNopLogger()})
 	d.SetUpstreams(upstreams)
 	return d
@@ -178,11 +179,11 @@
 func TestIsDown(t *testing.T) {
 	address := listen(t, func(c *net.TCPConn) { _ = c.Close() })
 	direct := (&net.Dialer{}).DialContext
-	witness := func(t *testing.T, dial DialFunc) []Peer {
+	witness := func(t *testing.T, dial mpdial.Func) []Peer {
 		return []Peer{peerOf(t, "x", testSecret, relayServer{d: newDialer(dial, address)})}
 	}
 	for name, c := range map[string]struct {
-		own   DialFunc
+		own   mpdial.Func
 		peers func(t *testing.T) []Peer
 		want  bool
 	}{
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -22,9 +22,6 @@
 	proxyMaxIdleConnsPerHost = 16
 )
 
-// DialFunc connects to an address.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // NewDialer returns a dialer with local address source whose connections detect a
 // silent network partition.
 func NewDialer(source net.IP) *net.Dialer {
@@ -52,7 +49,7 @@
 
 // NewTransport returns a transport for proxying requests unchanged, over
 // connections made by dial. The bytes on them are counted in m.
-func NewTransport(dial DialFunc, m *mpmetric.Set) *Transport {
+func NewTransport(dial mpdial.Func, m *mpmetric.Set) *Transport {
 	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -65,7 +62,7 @@
 
 // newTransport returns a transport that keeps up to maxIdlePerHost idle connections
 // per upstream for idleTimeout, requests no compression and uses no proxy.
-func newTransport(dial DialFunc, maxIdlePerHost int, idleTimeout time.Duration) *Transport {
+func newTransport(dial mpdial.Func, maxIdlePerHost int, idleTimeout time.Duration) *Transport {
 	t := &http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -27,7 +27,7 @@
 	probeDelay    = 400 * time.Millisecond
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
-	// maxMakeTime keeps the connection from probing the owner earlier than that.
+	// maxMakeTime is longer than any job, so that only probeOwner probes the owner during one.
 	maxMakeTime = time.Hour
 	// unresponsivePeriod is how long an owner that did not answer is ranked last.
 	unresponsivePeriod = 3 * time.Second
