mpgateway: Refuse a first plan of version 0

An operator who publishes version 0 while no plan is in force got an acknowledgement, but the plan was never in force, since 0 is also the version of no plan. It is refused as invalid now. While a plan is in force, version 0 is acknowledged without effect, as any version that is not higher.

Evidence: View.apply takes over a plan only if its version is above that of the view, which is 0 at first. The state machine is unchanged, so VMs of earlier builds agree with it.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpmember"
@@ -451,9 +452,25 @@
 // PublishPlan replaces the operators' plan, unless a newer one is in force. If it returns
 // an error that wraps ErrOutcomeUnknown, the plan may still take effect.
 func (g *Gateway) PublishPlan(ctx context.Context, r mpview.Routing) error {
+	if r.Version == 0 {
+		// It is not above the version of no plan, so it would be acknowledged without effect.
+		current, err := g.ReadPlan(ctx)
+		if err := checkFirstVersion(current, err); err != nil {
+			return err
+		}
+	}
 	return g.propose(ctx, operatorName, mpview.Publish{Routing: r})
 }
 
+// checkFirstVersion returns an error for a plan of version 0 unless a plan is in force, which it
+// would not replace. err is that of reading the plan in force.
+func checkFirstVersion(current mpview.Routing, err error) error {
+	if err != nil || current.Version > 0 {
+		return err
+	}
+	return mperror.Wrap(mperror.ErrInvalid, "the version of the first plan must be above 0")
+}
+
 // SetOutOfService takes a data centre out of service or back in.
 func (g *Gateway) SetOutOfService(ctx context.Context, dc string, out bool) error {
 	return g.propose(ctx, operatorName, mpview.Mark{Target: mpview.TargetDC, Name: dc, Out: out})
