--- a/core/process/mplog/summarizer.go
+++ b/core/process/mplog/summarizer.go
@@ -37,7 +37,7 @@
 }
 
 // NewSummarizer returns a Summarizer that logs its summary lines to logger with the message
-// msg, which is MsgRequestsNotServed, MsgStagesRefused or MsgAttemptsFailed.
+// msg, which is MsgRequestsNotServed, MsgStagesRefused, MsgAttemptsFailed or MsgClientsLimited.
 func NewSummarizer(logger log.Logger, msg string) *Summarizer {
 	return &Summarizer{logger: logger, msg: msg, causes: map[string]*causeSummary{}}
 }
--- a/core/process/mplog/timeline.go
+++ b/core/process/mplog/timeline.go
@@ -25,6 +25,9 @@
 	MsgStagesRefused = "stages refused"
 	// MsgAttemptsFailed covers requests for which an attempt at an upstream failed.
 	MsgAttemptsFailed = "attempts failed"
+	// MsgClientsLimited covers connections of clients on which a limit acted. Its IDs are their
+	// addresses.
+	MsgClientsLimited = "clients limited"
 )
 
 // MsgCrashEvidence is the message of lines about an upstream that ended under a request.
