mpingress: Serve the platform's addresses within a memory budget

Clients that send bodies without end no longer end the process. All five addresses draw on one budget, a quarter of memoryMb, as bytes arrive: a request for which there is no room, or that is ended for others before it has arrived whole, gets 503 with Retry-After; one that sends nothing of its body for the idle timeout of the plan, or less than 1 KiB/s after 30 s, gets 408; one over the limit gets 413 before its body is read. A caller that reads nothing of a response for the idle timeout is cut off, and its upstream request with it. Requests without a route, a valid key or a plan are answered without a buffer for their bodies; as far as these arrive they are read first, as before. Connections are bounded by half of the descriptors that limits.maxFds leaves after 200 for files. The longest idle one is closed for a newcomer.

Cause: the adapter buffered each body with io.ReadAll before it looked at the request, no timer ran while a body arrived, and nothing bounded their sum.

mpproxy.Check decides on route and key before the body is read, with the code that Serve uses, and counts a refused request once. An oversized plan is not changed by this commit. A read deadline for the body ends when net/http clears it at the end of the body, so that none runs while a handler does.

Shown by tests in virtual time, which also check that all reservations are released.

--- a/core/process/mpmemory/connection.go
+++ b/core/process/mpmemory/connection.go
@@ -89,10 +89,10 @@
 func (b *Budget) end(now time.Time, kind Kind, victims []*Connection) {
 	for _, v := range victims {
 		b.mu.Lock()
-		isIdle, held, account := v.state == idle, v.held, v.account
+		held, account := v.held, v.account
 		b.mu.Unlock()
 		b.Report(Event{Kind: kind, Address: v.address, Account: account, Held: held, Received: v.received.Load(), Quiet: v.quiet(now)})
-		v.ender.End(isIdle)
+		v.ender.End()
 	}
 }
 
@@ -155,6 +155,15 @@
 	return nil
 }
 
+// Shrink releases all but the cost of the connection.
+func (c *Connection) Shrink() {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if !c.isClosed {
+		c.release(max(c.held-c.b.cfg.ConnectionBytes, 0))
+	}
+}
+
 // Finish records that the request has ended, and releases all but the cost of the connection.
 func (c *Connection) Finish(now time.Time) {
 	c.progressAt.Store(now.UnixNano())
--- a/core/process/mpmemory/grow.go
+++ b/core/process/mpmemory/grow.go
@@ -88,8 +88,8 @@
 	if c.isEnded || c.isClosed {
 		return nil, nil, ErrEnded
 	}
-	if !slices.ContainsFunc(c.scopes, func(s *scope) bool { return !s.hasRoom(n) }) {
-		c.add(n)
+	if n <= 0 || !slices.ContainsFunc(c.scopes, func(s *scope) bool { return !s.hasRoom(n) }) {
+		c.add(max(n, 0))
 		return nil, nil, nil
 	}
 	victims, ok := c.selectVictims(now, n)
--- a/core/process/mpmemory/mpmemory.go
+++ b/core/process/mpmemory/mpmemory.go
@@ -31,9 +31,10 @@
 	// maxClosing limits the connections that are open beyond the bound because they were told to end
 	// and have not yet.
 	maxClosing = 64
-	// slowRate is the rate in bytes per second below which a request that arrives counts as late.
-	// Links of VMs have at least 900 kB/s.
-	slowRate = 64 << 10
+	// fullRate is the rate in bytes per second at which a request that arrives does not get late. It
+	// is about that of a VM's link, so that of clients that share the link the ones that came first
+	// are the latest.
+	fullRate = 1 << 20
 	// minQuiet is added to the time since a connection's last progress, so that of connections that
 	// all make progress the largest is ended.
 	minQuiet = time.Millisecond
@@ -54,7 +55,8 @@
 	Bytes int64
 	// Connections is how many connections may be open in all; 0 is no bound.
 	Connections int
-	// ConnectionBytes is the cost of an open connection.
+	// ConnectionBytes is the cost of an open connection, which the holder of the connection reserves
+	// first and Finish keeps.
 	ConnectionBytes int64
 	// OnEvent is called each time that a limit acts; it may be nil.
 	OnEvent func(Event)
@@ -82,8 +84,8 @@
 // Ender ends a connection.
 type Ender interface {
 	// End lets the holder of a connection release what it holds. It is called at most once, by
-	// whoever needs the room. isIdle is set if no part of a request has arrived.
-	End(isIdle bool)
+	// whoever needs the room.
+	End()
 }
 
 // scope is a set of reservations with limits of its own: all of them, those of one client address, or
@@ -235,14 +237,17 @@
 }
 
 // loss returns by how much the process gains if the connection is ended: what it holds, times how
-// long it has made no progress and how much later it is than at slowRate.
+// long it has made no progress and how much later it is than at fullRate. While it waits for room, it
+// is not to blame for the lack of progress. The caller holds b.mu.
 func (c *Connection) loss(now time.Time) float64 {
-	wasted := c.quiet(now) + minQuiet
+	wasted := minQuiet.Seconds()
+	if c.wait == nil {
+		wasted += c.quiet(now).Seconds()
+	}
 	if c.state == arriving {
-		late := now.Sub(c.startedAt).Seconds() - float64(c.received.Load())/slowRate
-		return float64(c.held) * (wasted.Seconds() + max(late, 0))
+		wasted += max(now.Sub(c.startedAt).Seconds()-float64(c.received.Load())/fullRate, 0)
 	}
-	return float64(c.held) * wasted.Seconds()
+	return float64(c.held) * wasted
 }
 
 func (c *Connection) isIn(s *scope) bool { return slices.Contains(c.scopes, s) }
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -203,25 +203,16 @@
 // admit resolves the route, the account and the deadlines of the request. It
 // refuses requests without a route or a valid account and returns false for them.
 func (e *exchange) admit() bool {
-	e.table = e.p.cfg.State.Table()
-	if e.table == nil {
-		e.refuse(http.StatusServiceUnavailable, minRetryAfter, "no plan yet", "")
-		return false
-	}
-	e.route = e.table.Find(e.r.Host, e.r.Path)
-	if e.route == nil {
-		e.refuse(http.StatusNotFound, 0, "no route", "")
+	found, refused := e.p.resolve(e.r)
+	e.table, e.route = found.table, found.route
+	if refused != nil {
+		e.refuse(refused.status, refused.retryAfter, refused.cause, "")
 		return false
 	}
 	spec := e.route.Spec()
 	e.priority = spec.Priority
-	if e.table.HasAccounts() && !spec.Public {
-		account := e.table.Account(e.r.APIKey)
-		if account == nil {
-			e.refuse(http.StatusUnauthorized, 0, "unknown key", "")
-			return false
-		}
-		e.account, e.priority = account.Name(), account.Priority(e.route)
+	if found.account != nil {
+		e.account, e.priority = found.account.Name(), found.account.Priority(e.route)
 	}
 	timeout := spec.Timeout
 	if e.r.Timeout > 0 {
