--- a/core/process/mpingress/mpingress.go
+++ b/core/process/mpingress/mpingress.go
@@ -165,3 +165,22 @@
 	observer.Publish(b)
 	return b
 }
+
+// Reserve draws n bytes more for a request whose body was read, besides what ReadBody drew. The caller
+// calls release when they are free again. Errors are those that Refuse answers.
+func Reserve(r *http.Request, n int64) (release func(), err error) {
+	c := connOf(r.Context())
+	if c == nil {
+		return func() {}, nil
+	}
+	memory := c.s.cfg.Memory
+	w, err := memory.Draw(time.Now(), 0, n)
+	if err == nil && w != nil {
+		err = w.Await(r.Context(), mpmemory.ReleaseTimeout)
+	}
+	if err != nil {
+		c.report(mpmemory.Refused, max(r.ContentLength, 0))
+		return nil, err
+	}
+	return func() { memory.Return(n) }, nil
+}
