mphttp: Serve callers and operators of mustardpostd within a memory budget

What arrives on a connection draws on a budget until its handler returns, three times its length. A request without room gets 503 with Retry-After, one that stops to arrive for 15 s or averages less than 1 KiB/s after 30 s gets 408, and an announced length over the limit 413 at once. A caller that reads nothing for 15 s is cut off, and handlers wait while 64 KiB are pending for a client, so that the engine keeps no long responses. Connections are bounded by descriptors, in all and by address; 64 requests may be sent ahead of their responses.

The new setting `memory` (MB) is the size of the budget. By default it has room for `requests` requests with the largest body from one client (12,250 MB for 2,000 of 1 MiB), so that no client which keeps the other limits meets it. `mustardpost settings check` names a budget without room for one largest body.

The answer to a request that did not arrive whole is now written after the responses to requests before it on its connection: it was taken for the answer to one that runs. Refusals with 408 and 503 have the outcome `unknown`, since an earlier submission of the key may have run.

Buffers of the engine come from the heap. Its pool handed out buffers of any size, and parsers of rejected connections kept theirs for half a second.

--- a/core/connection/mpcaller/mpcaller.go
+++ b/core/connection/mpcaller/mpcaller.go
@@ -87,11 +87,20 @@
 	return mux
 }
 
-// ParseErrorHeader returns the header of the response to a malformed HTTP request.
-func ParseErrorHeader() http.Header {
+// RefusalHeader returns the header of the response to a request that did not arrive whole, with the
+// given status. An earlier submission of a request that may succeed later may have run.
+func RefusalHeader(status int, retryAfter time.Duration) http.Header {
 	h := http.Header{}
 	h.Set(OutcomeHeader, string(mppipeline.NotRun))
 	h.Set(CauseHeader, "body")
+	switch status {
+	case http.StatusRequestTimeout:
+		h.Set(OutcomeHeader, string(mppipeline.Unknown))
+	case http.StatusServiceUnavailable:
+		h.Set(OutcomeHeader, string(mppipeline.Unknown))
+		h.Set(CauseHeader, "memory")
+		h.Set(RetryHeader, strconv.FormatInt(retryAfter.Milliseconds(), 10))
+	}
 	return h
 }
 
--- a/core/connection/mpcaller/mpcaller_test.go
+++ b/core/connection/mpcaller/mpcaller_test.go
@@ -87,7 +87,7 @@
 			VM: "vm1", DC: "north", Permits: s, Membership: s, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 		}),
 	})
-	h := mphttp.New(mphttp.Config{Name: "caller", Address: "127.0.0.1:0", Handler: s.server.Handler(), MaxBodyBytes: maxBodyBytes, ParseErrorHeader: ParseErrorHeader(), Logger: log.NewNopLogger()})
+	h := mphttp.New(mphttp.Config{Name: "caller", Address: "127.0.0.1:0", Handler: s.server.Handler(), MaxBodyBytes: maxBodyBytes, RefusalHeader: RefusalHeader, Logger: log.NewNopLogger()})
 	mphttp.UseLogger(log.NewNopLogger())
 	if err := h.Start(); err != nil {
 		t.Fatal(err)
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"expvar"
+	"math"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,6 +25,7 @@
 	"mustardpost.org/core/process/mpconsensus"
 	"mustardpost.org/core/process/mphttp"
 	"mustardpost.org/core/process/mplead"
+	"mustardpost.org/core/process/mpmemory"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mporder"
 	"mustardpost.org/core/process/mpowner"
@@ -54,6 +57,7 @@
 	cfg            Config
 	boot           uint64
 	metrics        *mpmetric.Set
+	memory         *mpmemory.Budget
 	client         *mppeer.Client
 	member         *mpmember.Member
 	owner          *mpowner.Owner
@@ -78,6 +82,7 @@
 		admission:    mpadmit.New(mpadmit.Config{MaxRequests: s.MaxRequests}),
 		voterService: &mpconsensus.Service{IsVoter: s.IsVoter()},
 	}
+	d.memory = d.newBudget()
 	d.client = mppeer.NewClient(mppeer.Config{Secret: s.Secret, LocalIP: s.LocalIP(), Metrics: d.metrics, Logger: cfg.Logger})
 	d.member = mpmember.New(mpmember.Config{
 		Self:   mpview.VM{Name: s.VM, DC: s.DC, Boot: d.boot, Address: s.CallerAddress, Peer: s.PeerAddress},
@@ -103,6 +108,26 @@
 	return d
 }
 
+// newBudget returns the budget of callers and operators.
+func (d *Daemon) newBudget() *mpmemory.Budget {
+	observer := mpmemory.NewObserver(d.metrics, d.cfg.Logger)
+	b := mpmemory.New(mpmemory.Config{
+		Bytes: d.cfg.Settings.MemoryBytes(), Connections: connectionLimit(), ConnectionBytes: mphttp.ConnectionBytes, OnEvent: observer.Observe,
+	})
+	observer.Publish(b)
+	return b
+}
+
+// connectionLimit returns how many connections callers and operators may have, by the descriptors that the
+// process may have.
+func connectionLimit() int {
+	var nofile syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &nofile); err != nil {
+		return mphttp.MaxConnections
+	}
+	return min(mpmemory.ClientConnections(int(min(nofile.Cur, math.MaxInt32))), mphttp.MaxConnections)
+}
+
 func (d *Daemon) assembleServers() {
 	s := d.cfg.Settings
 	permits, retryRatio := mppipeline.PermitSource(d.broker), defaultRetryRatio
@@ -133,12 +158,13 @@
 		OnOverload: d.recordOverload,
 	})
 	d.callerServer = mphttp.New(mphttp.Config{
-		Name:             "caller",
-		Address:          s.CallerAddress,
-		Handler:          d.callerHandler.Handler(),
-		MaxBodyBytes:     s.MaxBodyBytes,
-		ParseErrorHeader: mpcaller.ParseErrorHeader(),
-		Logger:           d.cfg.Logger,
+		Name:          "caller",
+		Address:       s.CallerAddress,
+		Handler:       d.callerHandler.Handler(),
+		MaxBodyBytes:  s.MaxBodyBytes,
+		RefusalHeader: mpcaller.RefusalHeader,
+		Memory:        d.memory,
+		Logger:        d.cfg.Logger,
 	})
 	operator := mpoperator.New(mpoperator.Config{
 		VM:         s.VM,
@@ -150,7 +176,8 @@
 		Logger:     d.cfg.Logger,
 	})
 	d.operatorServer = mphttp.New(mphttp.Config{
-		Name: "operator", Address: s.OperatorAddress, Handler: operator.Handler(), MaxBodyBytes: maxOperatorBodyBytes, Logger: d.cfg.Logger,
+		Name: "operator", Address: s.OperatorAddress, Handler: operator.Handler(), MaxBodyBytes: maxOperatorBodyBytes,
+		Memory: d.memory, Logger: d.cfg.Logger,
 	})
 }
 
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -1,6 +1,8 @@
 // Package mphttp serves HTTP with nbhttp and adds what a proxy needs: the context of a
 // request is cancelled when its connection closes, the server never truncates a response
-// by closing the connection, and a draining server asks callers to connect elsewhere.
+// by closing the connection, and a draining server asks callers to connect elsewhere. What
+// arrives draws on a memory budget until its handler returns, and clients that send or read nothing
+// for too long are cut off.
 package mphttp
 
 import (
@@ -8,8 +10,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,18 +27,30 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/process/mpmemory"
 )
 
 const (
-	keepAliveTimeout   = 60 * time.Second
-	readHeadroomBytes  = 64 << 10
-	shardCount         = 64
-	maxConnections     = 20_000
+	keepAliveTimeout  = 60 * time.Second
+	readHeadroomBytes = 64 << 10
+	shardCount        = 64
+	// MaxConnections is how many connections may be open in all.
+	MaxConnections     = 20_000
 	closedPollInterval = 100 * time.Millisecond
 	stopTimeout        = time.Second
 	// rejectionLinger is how long a connection stays open after a request was rejected, so
 	// that a caller that is still sending can read the reason.
 	rejectionLinger = 500 * time.Millisecond
+	// stallPollInterval is how often connections are checked for requests that stopped to arrive.
+	stallPollInterval = time.Second
+	// retryAfter is the Retry-After of refusals for lack of memory.
+	retryAfter = time.Second
+)
+
+var (
+	errStalled       = errors.New("request stopped to arrive, or arrives too slowly")
+	errUnread        = errors.New("client reads nothing")
+	errTooManyQueued = errors.New("too many requests are sent ahead of their responses")
 )
 
 // Config configures a Server.
@@ -43,9 +60,13 @@
 	Handler http.Handler
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int
-	// ParseErrorHeader is added to the response to a request that cannot be parsed.
-	ParseErrorHeader http.Header
-	Logger           log.Logger
+	// RefusalHeader returns what is added to the response to a request that did not arrive whole, by
+	// its status; it may be nil. retryAfter is 0 if the request will not be accepted later either.
+	RefusalHeader func(status int, retryAfter time.Duration) http.Header
+	// Memory is the budget that all servers of the process share; nil sets no limits. Its
+	// ConnectionBytes are those of this package.
+	Memory *mpmemory.Budget
+	Logger log.Logger
 }
 
 // requestShard holds one shard of the requests that are being served.
@@ -74,11 +95,21 @@
 	// opened counts opened connections. It serves as a memory barrier that makes the
 	// listener's writes visible to the pollers.
 	opened atomic.Int64
+	// accepted is the connection that the listener accepted last, until the engine opens it. Only the
+	// listener's goroutine uses it.
+	accepted *session
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
 }
 
 // New returns a Server that is not started yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, quit: make(chan struct{})}
+	useHeap()
+	if cfg.Memory == nil {
+		cfg.Memory = mpmemory.New(mpmemory.Config{Bytes: math.MaxInt64 / 4})
+	}
+	s := &Server{cfg: cfg, quit: make(chan struct{}), sessions: map[*session]struct{}{}}
 	for i := range s.shards {
 		s.shards[i].active = map[uint64]request{}
 	}
@@ -86,19 +117,29 @@
 		Name:                    cfg.Name,
 		Network:                 "tcp",
 		Addrs:                   []string{cfg.Address},
-		Listen:                  func(string, string) (net.Listener, error) { return s.listener, nil },
+		Listen:                  func(string, string) (net.Listener, error) { return &listener{s.listener, s}, nil },
 		Handler:                 http.HandlerFunc(s.serve),
+		OnRequest:               func(w http.ResponseWriter, _ *http.Request) { s.onRequest(w) },
 		MaxHTTPBodySize:         cfg.MaxBodyBytes,
 		ReadLimit:               cfg.MaxBodyBytes + readHeadroomBytes,
 		KeepaliveTime:           keepAliveTimeout,
-		MaxLoad:                 maxConnections,
+		MaxLoad:                 MaxConnections,
 		ReleaseWebsocketPayload: true,
 		ServerExecutor:          func(f func()) { go f() },
 	})
 	// The engine hands a connection from its listener to a poller through the kernel
 	// only. That orders the two, but is not synchronization in Go's memory model.
-	s.engine.Engine.OnOpen(func(*nbio.Conn) { s.opened.Add(1) })
+	s.engine.Engine.OnOpen(func(c *nbio.Conn) {
+		s.onOpen(c)
+		s.opened.Add(1)
+	})
+	s.engine.OnClose(s.onClose)
 	s.engine.OnData(s.onData)
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if sess, ok := c.Session().(*session); ok {
+			sess.output.onFlushed(time.Now(), n)
+		}
+	})
 	return s
 }
 
@@ -145,37 +186,102 @@
 	}
 }
 
-// onData parses data received on a connection. If a request cannot be parsed, onData
-// sends a response with the reason, drops all further data, and closes the connection
-// after rejectionLinger.
-func (s *Server) onData(c *nbio.Conn, data []byte) {
-	s.opened.Load()
-	parser, ok := c.Session().(nbhttp.ParserCloser)
+// listener accepts connections as far as the budget allows.
+type listener struct {
+	net.Listener
+	s *Server
+}
+
+// Accept returns the next connection that may be open. The engine calls it, and opens what it returns,
+// from one goroutine.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		if l.s.accepted != nil {
+			l.s.accepted.held.Close() // The engine could not open it.
+			l.s.accepted = nil
+		}
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		sess := &session{s: l.s, address: mpmemory.AddressOf(c.RemoteAddr())}
+		now := time.Now()
+		if sess.held, err = l.s.cfg.Memory.Open(now, sess.address, sess); err == nil {
+			if err = sess.charge(now); err == nil {
+				l.s.accepted = sess
+				return c, nil
+			}
+			sess.held.Close()
+		}
+		_ = c.Close()
+	}
+}
+
+// onOpen completes the session of the connection that was accepted last.
+func (s *Server) onOpen(c *nbio.Conn) {
+	sess := s.accepted
+	s.accepted = nil
+	parser, ok := c.Session().(*nbhttp.Parser)
+	if sess == nil || !ok {
+		return
+	}
+	sess.mu.Lock()
+	sess.ParserCloser, sess.conn, sess.output = parser, c, newOutput(c)
+	if sess.isRejected {
+		sess.closeLater() // The engine cannot close a connection that it is opening.
+	}
+	sess.mu.Unlock()
+	if hc, ok := parser.Conn.(*nbhttp.Conn); ok {
+		hc.Conn = sess.output
+	}
+	parser.Processor = &processor{parser.Processor, sess}
+	c.SetSession(sess)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessions[sess] = struct{}{}
+}
+
+// onClose releases what a closed connection held. The engine calls it after the handlers have returned.
+func (s *Server) onClose(c net.Conn, _ error) {
+	nc, ok := c.(*nbio.Conn)
 	if !ok {
 		return
 	}
-	err := parser.Parse(data)
-	if err == nil {
+	sess, ok := nc.Session().(*session)
+	if !ok {
 		return
 	}
-	parser.CloseAndClean(err)
-	c.SetSession(rejectedSession{})
-	status := http.StatusBadRequest
-	if errors.Is(err, nbhttp.ErrTooLong) {
-		status = http.StatusRequestEntityTooLarge
+	sess.held.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
+}
+
+// onData parses data received on a connection. If a request cannot be parsed, or there is no room
+// for it, the client gets a response with the reason. All further data is dropped, and the connection
+// is closed after rejectionLinger.
+func (s *Server) onData(c *nbio.Conn, data []byte) {
+	s.opened.Load()
+	if sess, ok := c.Session().(*session); ok {
+		sess.receive(time.Now(), data)
 	}
-	_, _ = c.Write(s.errorResponse(status))
-	time.AfterFunc(rejectionLinger, func() { _ = c.CloseWithError(err) })
 }
 
 func (s *Server) errorResponse(status int) []byte {
 	text := http.StatusText(status)
-	header := s.cfg.ParseErrorHeader.Clone()
-	if header == nil {
-		header = http.Header{}
+	var wait time.Duration
+	if status == http.StatusServiceUnavailable {
+		wait = retryAfter
+	}
+	header := http.Header{}
+	if s.cfg.RefusalHeader != nil {
+		header = s.cfg.RefusalHeader(status, wait)
 	}
 	header.Set("Connection", "close")
 	header.Set("Content-Length", strconv.Itoa(len(text)))
+	if wait > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, text)
 	_ = header.Write(&b)
@@ -183,10 +289,23 @@
 	return b.Bytes()
 }
 
-// rejectedSession is the session of a connection whose request could not be parsed.
-type rejectedSession struct{}
+func (s *Server) onRequest(w http.ResponseWriter) {
+	if sess, ok := sessionOf(w); ok {
+		sess.onRequest()
+	}
+}
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	sess, ok := sessionOf(w)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable) // The connection was closed before it was opened.
+		return
+	}
+	defer func() { sess.finish(time.Now()) }()
+	if !sess.mayRun() {
+		s.refuse(w)
+		return
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if r.Close || s.draining.Load() {
@@ -197,16 +316,27 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	if conn, ok := connOf(w); ok {
-		id := s.lastID.Add(1)
-		shard := &s.shards[id%shardCount]
-		shard.add(id, request{conn, cancel})
-		defer shard.remove(id)
-	}
+	id := s.lastID.Add(1)
+	shard := &s.shards[id%shardCount]
+	shard.add(id, request{sess.conn, cancel})
+	defer shard.remove(id)
 	s.cfg.Handler.ServeHTTP(w, r.WithContext(ctx))
 }
 
-func connOf(w http.ResponseWriter) (*nbio.Conn, bool) {
+// refuse answers a request whose connection was ended to make room for others.
+func (s *Server) refuse(w http.ResponseWriter) {
+	h := w.Header()
+	if s.cfg.RefusalHeader != nil {
+		for name, values := range s.cfg.RefusalHeader(http.StatusServiceUnavailable, retryAfter) {
+			h[name] = values
+		}
+	}
+	h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	h.Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func sessionOf(w http.ResponseWriter) (*session, bool) {
 	res, ok := w.(*nbhttp.Response)
 	if !ok || res.Parser == nil {
 		return nil, false
@@ -215,8 +345,12 @@
 	if wrapped, ok := conn.(*nbhttp.Conn); ok {
 		conn = wrapped.Conn
 	}
-	c, ok := conn.(*nbio.Conn)
-	return c, ok
+	out, ok := conn.(*output)
+	if !ok {
+		return nil, false
+	}
+	sess, ok := out.Session().(*session)
+	return sess, ok
 }
 
 func (s *requestShard) add(id uint64, req request) {
@@ -232,19 +366,35 @@
 }
 
 // pollClosed polls for closed connections and cancels their requests. The engine's own
-// close event is queued behind the running handler, and so comes too late.
+// close event is queued behind the running handler, and so comes too late. It also polls for
+// connections on which nothing moves.
 func (s *Server) pollClosed() {
 	t := time.NewTicker(closedPollInterval)
 	defer t.Stop()
+	var checkedAt time.Time
 	for {
+		var now time.Time
 		select {
 		case <-s.quit:
 			return
-		case <-t.C:
+		case now = <-t.C:
 		}
 		for i := range s.shards {
 			s.shards[i].cancelClosed()
 		}
+		if now.Sub(checkedAt) >= stallPollInterval {
+			checkedAt = now
+			s.checkStalled(now)
+		}
+	}
+}
+
+func (s *Server) checkStalled(now time.Time) {
+	s.mu.Lock()
+	sessions := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
+	for _, sess := range sessions {
+		sess.checkStalled(now)
 	}
 }
 
--- a/core/process/mpingress/body.go
+++ b/core/process/mpingress/body.go
@@ -13,9 +13,6 @@
 const (
 	// firstBufferBytes is the largest buffer that is made for a body before any of it was read.
 	firstBufferBytes = 16 << 10
-	// slowAfter is the time after which a body must have averaged minBodyRate bytes per second.
-	slowAfter   = 30 * time.Second
-	minBodyRate = 1 << 10
 	// refusalPatience is how long a client that is refused anyway may send nothing of its body.
 	refusalPatience = time.Second
 	discardBytes    = 4 << 10
@@ -35,16 +32,6 @@
 	ErrUnreadable = errors.New("body cannot be read")
 )
 
-// bodyDeadline returns until when more of a body must arrive of which n bytes have arrived since start,
-// the last ones at progress.
-func bodyDeadline(start, progress time.Time, n int64, stall time.Duration) time.Time {
-	rateEnds := start.Add(max(slowAfter, time.Duration(float64(n)/minBodyRate*float64(time.Second))))
-	if stallEnds := progress.Add(stall); stallEnds.Before(rateEnds) {
-		return stallEnds
-	}
-	return rateEnds
-}
-
 // bodyReader reads the body of a request, within the limits on its size and its time.
 type bodyReader struct {
 	c               *conn
@@ -69,7 +56,7 @@
 // this package or of mpmemory.
 func (b *bodyReader) read(p []byte) (int, error) {
 	if b.c != nil {
-		b.c.setBodyDeadline(bodyDeadline(b.start, b.progress, b.n, b.stall))
+		b.c.setBodyDeadline(mpmemory.ArrivalDeadline(b.start, b.progress, b.n, b.stall))
 	}
 	stallEnds := b.progress.Add(b.stall)
 	n, err := b.body.Read(p)
--- a/core/process/mpingress/mpingress.go
+++ b/core/process/mpingress/mpingress.go
@@ -20,9 +20,6 @@
 const (
 	// ConnectionBytes is the cost of an open connection: 1,000 idle ones take 22 MB of a process.
 	ConnectionBytes = 24 << 10
-	// DefaultStallTimeout is how long a client may send nothing of a body, or read nothing of a
-	// response.
-	DefaultStallTimeout = 15 * time.Second
 	// receiveBufferBytes bounds what the kernel keeps of a connection that is not read.
 	receiveBufferBytes = 64 << 10
 	// headCost is what is reserved for each byte of a head, which is held as it came and decoded.
@@ -43,7 +40,7 @@
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
 	// StallTimeout returns how long a client may send nothing of a body, or read nothing of a
-	// response. It may be nil for DefaultStallTimeout.
+	// response. It may be nil for mpmemory.StallTimeout.
 	StallTimeout func() time.Duration
 }
 
@@ -86,12 +83,12 @@
 
 func (s *Server) stallTimeout() time.Duration {
 	if s.cfg.StallTimeout == nil {
-		return DefaultStallTimeout
+		return mpmemory.StallTimeout
 	}
 	if d := s.cfg.StallTimeout(); d > 0 {
 		return d
 	}
-	return DefaultStallTimeout
+	return mpmemory.StallTimeout
 }
 
 // listener accepts connections as far as the budget allows.
--- a/core/process/mpingress/mpingress_test.go
+++ b/core/process/mpingress/mpingress_test.go
@@ -196,10 +196,10 @@
 		"too long, as announced":       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1048577\r\n\r\n", 0, 413, mpmemory.Oversized},
 		"too long, in one chunk":       {chunked(large, len(large)), 0, 413, mpmemory.Oversized},
 		"too long, in chunks":          {chunked(large, 1000), 0, 413, mpmemory.Oversized},
-		"a byte short":                 {strings.TrimSuffix(post("xyz"), "z"), DefaultStallTimeout, 408, mpmemory.Stalled},
-		"a chunk short":                {strings.TrimSuffix(chunked("xyz", 2), "0\r\n\r\n"), DefaultStallTimeout, 408, mpmemory.Stalled},
-		"short of the last line":       {strings.TrimSuffix(chunked("xyz", 2), "\r\n"), DefaultStallTimeout, 408, mpmemory.Stalled},
-		"a body that never begins":     {strings.TrimSuffix(post("xyz"), "xyz"), DefaultStallTimeout, 408, mpmemory.Stalled},
+		"a byte short":                 {strings.TrimSuffix(post("xyz"), "z"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
+		"a chunk short":                {strings.TrimSuffix(chunked("xyz", 2), "0\r\n\r\n"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
+		"short of the last line":       {strings.TrimSuffix(chunked("xyz", 2), "\r\n"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
+		"a body that never begins":     {strings.TrimSuffix(post("xyz"), "xyz"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
 		"not a chunk":                  {chunkedHead + "zz\r\n", 0, 400, ""},
 		"extensions without end":       {chunkedHead + strings.Repeat("1;"+strings.Repeat("e", 3000)+"\r\nx\r\n", 10), 0, 400, ""},
 		"a trailer without end":        {chunkedHead + "1\r\nx\r\n0\r\nT: " + strings.Repeat("t", 8<<10), 0, 400, ""},
@@ -233,8 +233,8 @@
 		status int
 		after  time.Duration
 	}{
-		"1 byte in 10 s":     {1, 10 * time.Second, 408, slowAfter},
-		"100 bytes a second": {100, time.Second, 408, slowAfter},
+		"1 byte in 10 s":     {1, 10 * time.Second, 408, mpmemory.SlowAfter},
+		"100 bytes a second": {100, time.Second, 408, mpmemory.SlowAfter},
 		"2 KiB a second":     {2 << 10, time.Second, 200, 50 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -389,13 +389,13 @@
 		c.send(post("xyz"))
 		// A client that reads a little at a time is not cut off.
 		for range 10 {
-			time.Sleep(DefaultStallTimeout - time.Second)
+			time.Sleep(mpmemory.StallTimeout - time.Second)
 			if _, err := io.CopyN(io.Discard, c.reader, 100); err != nil {
 				t.Fatalf("cut off although it reads: %v", err)
 			}
 		}
 		start := time.Now()
-		if took := (<-ended).Sub(start); took > DefaultStallTimeout {
+		if took := (<-ended).Sub(start); took > mpmemory.StallTimeout {
 			t.Errorf("cut off after %v", took)
 		}
 		if f.events[mpmemory.Unread] != 1 {
--- a/core/process/mpmemory/connection.go
+++ b/core/process/mpmemory/connection.go
@@ -41,7 +41,7 @@
 	if !s.isFull() {
 		return nil, true
 	}
-	if s.open >= s.maxOpen+maxClosing {
+	if s.open > s.maxOpen+s.maxOpen/closingShare {
 		return nil, false
 	}
 	var victim *Connection
@@ -178,6 +178,19 @@
 	c.release(max(c.held-c.b.cfg.ConnectionBytes, 0))
 }
 
+// Restart records that the request has ended, of which n bytes are released, and that a part of the next
+// one has arrived.
+func (c *Connection) Restart(now time.Time, n int64) {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if c.isClosed {
+		return
+	}
+	c.state, c.startedAt = arriving, now
+	c.leaveAccount()
+	c.release(min(n, c.held))
+}
+
 // Close removes the connection and releases all that it holds.
 func (c *Connection) Close() {
 	b := c.b
--- a/core/process/mpmemory/grow.go
+++ b/core/process/mpmemory/grow.go
@@ -47,12 +47,15 @@
 	select {
 	case <-w.ready:
 	case <-expired:
-		w.Cancel()
 	case <-ctx.Done():
-		w.Cancel()
 	}
-	if w.c != nil && errors.Is(w.err, ErrFull) {
-		w.c.reportRefused(time.Now())
+	return w.Settle(time.Now())
+}
+
+// Settle gives the wait up unless it is over. It returns nil if the reservation was granted.
+func (w *Wait) Settle(now time.Time) error {
+	if w.Cancel() && w.c != nil {
+		w.c.reportRefused(now)
 	}
 	return w.err
 }
--- a/core/process/mpmemory/mpmemory.go
+++ b/core/process/mpmemory/mpmemory.go
@@ -28,9 +28,9 @@
 	clientShare = 2
 	// ownerShare is the share of a budget that one client address or one account may hold.
 	ownerShare = 2
-	// maxClosing limits the connections that are open beyond the bound because they were told to end
-	// and have not yet.
-	maxClosing = 64
+	// closingShare is the share of the bound on connections by which it may be passed while connections
+	// that were told to end have not closed yet: a client has half a second to read why.
+	closingShare = 2
 	// fullRate is the rate in bytes per second at which a request that arrives does not get late. It
 	// is about that of a VM's link, so that of clients that share the link the ones that came first
 	// are the latest.
@@ -38,6 +38,15 @@
 	// minQuiet is added to the time since a connection's last progress, so that of connections that
 	// all make progress the largest is ended.
 	minQuiet = time.Millisecond
+	// StallTimeout is how long a client may send nothing of a request, or read nothing of a response,
+	// unless operators say otherwise.
+	StallTimeout = 15 * time.Second
+	// SlowAfter is the time after which a request must have arrived at minRate bytes per second.
+	SlowAfter = 30 * time.Second
+	minRate   = 1 << 10
+	// HeldCopies is how often a request is held at once by a server that parses it as a whole: as it
+	// came, as a body, and decoded.
+	HeldCopies = 3
 	// ReleaseTimeout is how long a request that arrives waits for the room of others that were ended.
 	ReleaseTimeout = 250 * time.Millisecond
 )
@@ -88,6 +97,16 @@
 	End()
 }
 
+// ArrivalDeadline returns until when more of a request must arrive of which n bytes have arrived since
+// start, the last ones at progress.
+func ArrivalDeadline(start, progress time.Time, n int64, stall time.Duration) time.Time {
+	rateEnds := start.Add(max(SlowAfter, time.Duration(float64(n)/minRate*float64(time.Second))))
+	if stallEnds := progress.Add(stall); stallEnds.Before(rateEnds) {
+		return stallEnds
+	}
+	return rateEnds
+}
+
 // scope is a set of reservations with limits of its own: all of them, those of one client address, or
 // those of one account.
 type scope struct {
@@ -133,10 +152,13 @@
 	}
 }
 
+// BytesFor returns the smallest budget of which one client may hold n bytes.
+func BytesFor(n int64) int64 { return ownerShare * n }
+
 // Fits reports whether the budget has room for a body of n bytes while nothing else is held. A buffer
 // that grows is held together with the one that replaces it.
 func (b *Budget) Fits(n int64) bool {
-	return n+n/2+4*b.cfg.ConnectionBytes <= b.cfg.Bytes/ownerShare
+	return BytesFor(n+n/2+4*b.cfg.ConnectionBytes) <= b.cfg.Bytes
 }
 
 // Stats is the present use of a Budget.
--- a/core/process/mpsettings/mpsettings.go
+++ b/core/process/mpsettings/mpsettings.go
@@ -17,6 +17,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpname"
+	"mustardpost.org/core/process/mpmemory"
 )
 
 const (
@@ -31,6 +32,9 @@
 	minElectionTimeoutMs     = 100
 	defaultSnapshotThreshold = 16 << 20
 	minSecretLength          = 16
+	minDefaultMemoryMB       = 256
+	// requestOverheadBytes is what a request holds besides its body: its head and its connection.
+	requestOverheadBytes = 64 << 10
 )
 
 // Voter names a VM that holds replicated state.
@@ -65,6 +69,9 @@
 	ElectionTimeoutMs int `json:"election,omitempty"`
 	MaxRequests       int `json:"requests,omitempty"`
 	MaxBodyBytes      int `json:"body,omitempty"`
+	// MemoryMB is what callers and operators may hold, in MB. By default it is so much that
+	// MaxRequests requests with the largest body fit, also if one client sends all of them.
+	MemoryMB int `json:"memory,omitempty"`
 	// SnapshotThreshold is the size of the log file, in bytes, that triggers a snapshot.
 	SnapshotThreshold int    `json:"segment,omitempty"`
 	PlatformURL       string `json:"platform,omitempty"`
@@ -84,6 +91,16 @@
 	return time.Duration(s.ElectionTimeoutMs) * time.Millisecond
 }
 
+// MemoryBytes returns MemoryMB in bytes.
+func (s Settings) MemoryBytes() int64 { return int64(s.MemoryMB) << 20 }
+
+// memoryFor returns the smallest MemoryMB with which one client may send n requests with the largest body
+// at once.
+func (s Settings) memoryFor(n int) int {
+	bytes := mpmemory.BytesFor(int64(n) * (mpmemory.HeldCopies*int64(s.MaxBodyBytes) + requestOverheadBytes))
+	return int((bytes + 1<<20 - 1) >> 20)
+}
+
 // PeerListenAddress returns the address that the process listens on for peers.
 func (s Settings) PeerListenAddress() string {
 	if s.PeerBindAddress != "" {
@@ -182,6 +199,9 @@
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return s, []Problem{{"file", "followed by more text", "one JSON object"}}
 	}
+	if s.MemoryMB == 0 {
+		s.MemoryMB = max(s.memoryFor(s.MaxRequests), minDefaultMemoryMB)
+	}
 	return s, s.check()
 }
 
@@ -251,6 +271,9 @@
 	c.inRange("election", s.ElectionTimeoutMs, minElectionTimeoutMs, s.LeaseMs/2)
 	c.inRange("requests", s.MaxRequests, 1, maxRequestsLimit)
 	c.inRange("body", s.MaxBodyBytes, 1, maxBodyBytesLimit)
+	if least := s.memoryFor(1); s.MemoryMB < least && s.MaxBodyBytes <= maxBodyBytesLimit {
+		c.add("memory", fmt.Sprint(s.MemoryMB), fmt.Sprintf("%d or more, so that there is room for one largest body", least))
+	}
 	c.inRange("segment", s.SnapshotThreshold, 1<<16, 1<<30)
 	if u, err := url.Parse(s.PlatformURL); s.PlatformURL != "" && (err != nil || u.Scheme != "http" || u.Host == "") {
 		c.add("platform", fmt.Sprintf("%q", s.PlatformURL), "an http URL")
--- a/core/process/mpsettings/mpsettings_test.go
+++ b/core/process/mpsettings/mpsettings_test.go
@@ -38,6 +38,11 @@
 		}},
 		{"data on a VM that is not a voter", `"dc": "a"`, `"dc": "a", "data": "x"`, []string{`data is "x"; allowed: no value, because this VM is not a voter`}},
 		{"lease and election", `"dc": "a"`, `"dc": "a", "lease": 600, "election": 500`, []string{`election is 500; allowed: 100 to 300`}},
+		{"memory for one largest body", `"dc": "a"`, `"dc": "a", "body": 4194304, "memory": 25`, nil},
+		{"too little memory for one largest body", `"dc": "a"`, `"dc": "a", "body": 4194304, "memory": 24`, []string{
+			`memory is 24; allowed: 25 or more, so that there is room for one largest body`,
+		}},
+		{"negative memory", `"dc": "a"`, `"dc": "a", "memory": -1`, []string{`memory is -1; allowed: 7 or more, so that there is room for one largest body`}},
 		{"two problems at once", `"vm": "a1", "dc": "a"`, `"vm": "A", "dc": ""`, []string{
 			`vm is "A"; allowed: 1 to 63 of a-z, 0-9, dot, hyphen, underscore`,
 			`dc is ""; allowed: 1 to 63 of a-z, 0-9, dot, hyphen, underscore`,
@@ -57,6 +62,21 @@
 	}
 }
 
+// Guards against a default that refuses requests which `requests` and `body` allow.
+func TestDefaultMemory(t *testing.T) {
+	for text, want := range map[string]int{
+		`"dc": "a"`:                 12250,
+		`"dc": "a", "requests": 10`: minDefaultMemoryMB,
+		`"dc": "a", "requests": 100, "body": 16777216`: 9613,
+		`"dc": "a", "memory": 36`:                      36,
+	} {
+		s, problems := Parse([]byte(strings.Replace(validSettings, `"dc": "a"`, text, 1)))
+		if s.MemoryMB != want || len(problems) > 0 {
+			t.Errorf("with %s memory is %d, want %d; problems %v", text, s.MemoryMB, want, problems)
+		}
+	}
+}
+
 func TestReadUnwritableDataDir(t *testing.T) {
 	dir := t.TempDir()
 	blocker := filepath.Join(dir, "file")
