mpproxy: Draw buffered responses on the memory budget

A response that is buffered draws on the budget in parts of up to 256 KiB while it is read, and until it is written. If there is no room, requests that have not arrived whole are ended; then the VM stops reading until there is room or the request ends. The upstream is not taken for idle, slow or failed meanwhile.

Cause: up to 16 MiB were read for each request that runs, with copies as the buffer grew, whatever else was held.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -96,6 +96,8 @@
 	Transport  *mpupstream.Transport
 	// Relay makes the connections of Transport.
 	Relay *mprelay.Dialer
+	// Memory limits what buffered responses hold.
+	Memory mpproxy.Memory
 	// Metrics is the set to which the gateway adds the metrics of the process.
 	Metrics *mpmetric.Set
 	Logger  log.Logger
@@ -192,6 +194,7 @@
 		Quotas:        g.quotas,
 		Notices:       g.notices,
 		Origins:       g.origins,
+		Memory:        cfg.Memory,
 		Prober:        cfg.Relay,
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -202,14 +202,14 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream, e.version = row.ID, row.Version
-	e.framing, e.tail, e.beganAt, e.isSound = noBody, 0, time.Time{}, false
+	e.framing, e.tail, e.beganAt, e.isSound, e.roomWait = noBody, 0, time.Time{}, false, 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
 	defer idleTimer.Stop()
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	now := e.p.cfg.Clock()
-	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
+	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt)-e.roomWait)
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row, t)
@@ -245,17 +245,19 @@
 // nothing while another attempt is still allowed. If none is allowed, the timer does
 // not fire, since cancelling could not help.
 func (e *exchange) startIdleTimer(cancel func(), timeLeft time.Duration, last bool) *time.Timer {
-	const never = 24 * time.Hour
-	t := time.AfterFunc(never, cancel)
+	return time.AfterFunc(e.idleTimeout(timeLeft, last), cancel)
+}
+
+// idleTimeout returns how long an upstream may send nothing.
+func (e *exchange) idleTimeout(timeLeft time.Duration, last bool) time.Duration {
 	if last || !e.route.IsRepeatable() {
-		return t
+		return neverTimeout
 	}
 	timeout := timeLeft / 2
 	if e.route.Spec().Kind == mproute.Stream {
 		timeout = min(timeout, time.Duration(firstEventTimeoutFactor*float64(e.route.Spec().LatencyTarget)))
 	}
-	t.Reset(timeout)
-	return t
+	return timeout
 }
 
 func (e *exchange) roundTrip(
@@ -371,15 +373,13 @@
 	ctx context.Context, resp *http.Response, idleTimer *time.Timer, last bool,
 ) (attemptResult, mpselect.Outcome, string) {
 	if resp.ContentLength > maxResponseBytes && e.r.Method != http.MethodHead {
-		return failed, mpselect.Failed, "response body too large"
+		return failed, mpselect.Failed, errResponseTooLarge.Error()
 	}
 	e.beganAt = e.p.cfg.Clock()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, outcome, err := e.bufferResponse(ctx, resp, idleTimer, last)
+	defer body.release()
 	if err != nil {
-		return failed, outcomeOfLoss(ctx, idleTimer), "read response body: " + err.Error()
-	}
-	if len(body) > maxResponseBytes {
-		return failed, mpselect.Failed, "response body too large"
+		return failed, outcome, err.Error()
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		e.recordSound()
@@ -396,10 +396,10 @@
 	case byClose:
 		e.endWithConnection(ctx)
 	case byLength, byChunks:
-		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		e.w.Header().Set("Content-Length", strconv.FormatInt(body.size, 10))
 	}
 	e.w.WriteHeader(resp.StatusCode)
-	_, _ = e.w.Write(body)
+	body.write(e.w)
 	e.completeResponse(ctx)
 	return answered, mpselect.Succeeded, ""
 }
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -77,6 +77,8 @@
 	// Notices holds what upstreams said of themselves to this VM.
 	Notices *mpnotice.Board
 	Origins Origins
+	// Memory limits what buffered responses hold; nil sets no limit.
+	Memory  Memory
 	Metrics *mpmetric.Set
 	Logger  log.Logger
 	Clock   func() time.Time
@@ -150,6 +152,8 @@
 	// and isSound is set once that attempt counts as answered without a crash.
 	beganAt time.Time
 	isSound bool
+	// roomWait is how long the response waited for room in memory, which is no fault of the upstream.
+	roomWait time.Duration
 	// endTrial ends the trial as which the last attempt was sent, if it was one.
 	endTrial       func(lost bool)
 	stagesDuration time.Duration
