mppeer: Reject strangers before their messages are read, and bound them

A call without the shared secret is rejected when its head has arrived, not once its message was read, which may have 256 MiB.

Cause: the secret was checked by interceptors, which run after the message was read, and nothing bounded connections without it.

--- a/core/connection/mppeer/server.go
+++ b/core/connection/mppeer/server.go
@@ -1,27 +1,31 @@
 package mppeer
 
 import (
-	"context"
-	"crypto/subtle"
 	"net"
 	"time"
 
+	"github.com/go-kit/log"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/metadata"
-	"google.golang.org/grpc/status"
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 )
 
-// serverKeepaliveInterval and serverKeepaliveTimeout bound how long the server keeps a silent
-// connection, which its client has replaced.
 const (
+	// serverKeepaliveInterval and serverKeepaliveTimeout bound how long the server keeps a silent
+	// connection, which its client has replaced.
 	serverKeepaliveInterval = time.Minute
 	serverKeepaliveTimeout  = 5 * time.Second
+	// handshakeTimeout is how long a client may take to begin with gRPC. Peers give a connection up
+	// after connectTimeout.
+	handshakeTimeout = 5 * time.Second
+	// maxStreams is how many calls and streams may be open on a connection. Two VMs have a few for each
+	// request that runs.
+	maxStreams = 10_000
+	// maxHeaderBytes limits the metadata of a call. Those of peers have a few hundred bytes.
+	maxHeaderBytes = 64 << 10
 )
 
 // Server is the gRPC server on a VM's peer address.
@@ -37,6 +41,8 @@
 	Peer    mpwire.PeerServer
 	// Metrics receives the counts of calls and bytes.
 	Metrics *mpmetric.Set
+	// Logger may be nil.
+	Logger log.Logger
 }
 
 // Serve listens on cfg.Address and serves peers that present the secret.
@@ -45,47 +51,26 @@
 	if err != nil {
 		return nil, mperror.Wrap(err, "listen on peer address %s", cfg.Address)
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	g := newGuard(l, cfg)
 	s := &Server{grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(connBufferBytes),
 		grpc.WriteBufferSize(connBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverKeepaliveInterval, Timeout: serverKeepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
-		grpc.UnaryInterceptor(authorize(cfg.Secret)),
-		grpc.StreamInterceptor(authorizeStream(cfg.Secret)),
-		grpc.StatsHandler(trafficStats{cfg.Metrics}),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.InTapHandle(g.authorize),
+		grpc.StatsHandler(serverStats{trafficStats{cfg.Metrics}, g}),
 	)}
 	mpwire.RegisterPeerServer(s.grpc, cfg.Peer)
-	go func() { _ = s.grpc.Serve(l) }()
+	go func() { _ = s.grpc.Serve(g) }()
 	return s, nil
 }
 
 // Stop cancels all calls and closes the listener.
 func (s *Server) Stop() { s.grpc.Stop() }
-
-func authorize(secret string) grpc.UnaryServerInterceptor {
-	return func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
-		if err := checkSecret(ctx, secret); err != nil {
-			return nil, err
-		}
-		return next(ctx, req)
-	}
-}
-
-func authorizeStream(secret string) grpc.StreamServerInterceptor {
-	return func(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
-		if err := checkSecret(stream.Context(), secret); err != nil {
-			return err
-		}
-		return next(srv, stream)
-	}
-}
-
-func checkSecret(ctx context.Context, secret string) error {
-	md, _ := metadata.FromIncomingContext(ctx)
-	got := md.Get(secretMetadataKey)
-	if len(got) != 1 || subtle.ConstantTimeCompare([]byte(got[0]), []byte(secret)) != 1 {
-		return status.Error(codes.Unauthenticated, "wrong secret")
-	}
-	return nil
-}
--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -227,6 +227,7 @@
 		Secret:  d.cfg.Settings.Secret,
 		Peer:    &peer{Service: d.voterService, daemon: d},
 		Metrics: d.metrics,
+		Logger:  d.cfg.Logger,
 	})
 	if err != nil {
 		return err
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -257,6 +257,7 @@
 		Secret:  g.cfg.Secret,
 		Peer:    peer{Service: g.voterService, gateway: g},
 		Metrics: g.metrics,
+		Logger:  g.cfg.Logger,
 	})
 	if err != nil {
 		return err
