--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -77,6 +77,8 @@
 	// Notices holds what upstreams said of themselves to this VM.
 	Notices *mpnotice.Board
 	Origins Origins
+	// Memory limits what buffered responses hold; nil sets no limit.
+	Memory  Memory
 	Metrics *mpmetric.Set
 	Logger  log.Logger
 	Clock   func() time.Time
@@ -150,6 +152,8 @@
 	// and isSound is set once that attempt counts as answered without a crash.
 	beganAt time.Time
 	isSound bool
+	// roomWait is how long the response waited for room in memory, which is no fault of the upstream.
+	roomWait time.Duration
 	// endTrial ends the trial as which the last attempt was sent, if it was one.
 	endTrial       func(lost bool)
 	stagesDuration time.Duration
@@ -203,25 +207,16 @@
 // admit resolves the route, the account and the deadlines of the request. It
 // refuses requests without a route or a valid account and returns false for them.
 func (e *exchange) admit() bool {
-	e.table = e.p.cfg.State.Table()
-	if e.table == nil {
-		e.refuse(http.StatusServiceUnavailable, minRetryAfter, "no plan yet", "")
-		return false
-	}
-	e.route = e.table.Find(e.r.Host, e.r.Path)
-	if e.route == nil {
-		e.refuse(http.StatusNotFound, 0, "no route", "")
+	found, refused := e.p.resolve(e.r)
+	e.table, e.route = found.table, found.route
+	if refused != nil {
+		e.refuse(refused.status, refused.retryAfter, refused.cause, "")
 		return false
 	}
 	spec := e.route.Spec()
 	e.priority = spec.Priority
-	if e.table.HasAccounts() && !spec.Public {
-		account := e.table.Account(e.r.APIKey)
-		if account == nil {
-			e.refuse(http.StatusUnauthorized, 0, "unknown key", "")
-			return false
-		}
-		e.account, e.priority = account.Name(), account.Priority(e.route)
+	if found.account != nil {
+		e.account, e.priority = found.account.Name(), found.account.Priority(e.route)
 	}
 	timeout := spec.Timeout
 	if e.r.Timeout > 0 {
