mpgateway, mpproxy: Ask the owner of a pool of engines for the engine of a request

The owner is first in the weighted rendezvous order of the pool's name; VMs advertise their processor share with their leases.

--- a/core/common/mprank/mprank.go
+++ b/core/common/mprank/mprank.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,29 @@
 // OfName is like Of for a string key.
 func OfName(key string, names []string) []string { return Of(xxhash.Sum64String(key), names) }
 
+// OfNameWeighted is like OfName, but names with a higher weight come first in more of the rankings,
+// in proportion to their weights (weighted rendezvous hashing, Schindelhauer and Schomaker 2005).
+// Equal weights give the ranking of OfName. Weights must be positive.
+func OfNameWeighted(key string, names []string, weight func(name string) float64) []string {
+	type scored struct {
+		name  string
+		hash  uint64
+		score float64
+	}
+	list := make([]scored, len(names))
+	for i, n := range names {
+		hash := fmix64(xxhash.Sum64String(key) ^ xxhash.Sum64String(n))
+		// The hash as a number between 0 and 1, both excluded.
+		list[i] = scored{n, hash, -weight(n) / math.Log((float64(hash>>11)+0.5)/(1<<53))}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.hash, a.hash)) })
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = s.name
+	}
+	return out
+}
+
 // fmix64 is the finalizer of MurmurHash3 (Appleby). Each input bit affects all output bits.
 func fmix64(x uint64) uint64 {
 	x ^= x >> 33
--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -296,6 +296,7 @@
 		Revision: m.view.Revision(),
 		Leaving:  m.leaving,
 		Voter:    m.cfg.Self.Voter,
+		Cpu:      m.cfg.Self.CPU,
 		Listed:   m.list.Hash(),
 		Holds:    true,
 		Packs:    true,
--- a/core/process/mpgateway/metrics.go
+++ b/core/process/mpgateway/metrics.go
@@ -29,6 +29,7 @@
 	g.metrics.Gauge("quarantine.suspects", func() any { return g.quarantine.Count(mpquarantine.Suspect, mpquarantine.StrongSuspect) })
 	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
 	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
+	g.metrics.Gauge("assign.held", func() any { return g.engineOwner.held() })
 	g.metrics.Gauge("origins", func() any { return g.origins.ledger.Count() })
 	g.metrics.Gauge("relay.tunnels", func() any { return g.cfg.Relay.Tunnels() })
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -62,6 +62,8 @@
 type Config struct {
 	VM string
 	DC string
+	// CPU is the VM's share of processors, in cores; 0 if it is unknown.
+	CPU float64
 	// CallerAddress is the address that callers connect to; empty if this VM serves no
 	// callers.
 	CallerAddress string
@@ -118,6 +120,8 @@
 	trials       *trials
 	quotas       *quotas
 	origins      *origins
+	engineOwner  *engineOwner
+	assigner     *assigner
 	notices      *mpnotice.Board
 
 	table atomic.Pointer[mproute.Table]
@@ -159,6 +163,7 @@
 	g.member = mpmember.New(mpmember.Config{
 		Self: mpview.VM{
 			Name: cfg.VM, DC: cfg.DC, Boot: boot, Address: cfg.CallerAddress, Peer: cfg.PeerAddress, Voter: cfg.IsVoter,
+			CPU: thousandths(cfg.CPU),
 		},
 		Voters: g.voterAddresses,
 		Client: g.client,
@@ -178,6 +183,12 @@
 	g.trials = &trials{
 		vm: cfg.VM, view: g.member.Current, dial: g.client.Stub, ledger: g.quarantine, arbiter: mpquarantine.NewArbiter(), logger: cfg.Logger,
 	}
+	g.engineOwner = &engineOwner{
+		view: g.member.Current, table: g.Table, usable: g.Usable, metrics: g.metrics, logger: cfg.Logger, pools: map[string]*ownedPool{},
+	}
+	g.assigner = newAssigner(assignerConfig{
+		vm: cfg.VM, view: g.member.Current, dial: g.client.Stub, owner: g.engineOwner, metrics: g.metrics, logger: cfg.Logger,
+	})
 	g.proxy = mpproxy.New(mpproxy.Config{
 		DC:            cfg.DC,
 		State:         g,
@@ -192,6 +203,7 @@
 		Quotas:        g.quotas,
 		Notices:       g.notices,
 		Origins:       g.origins,
+		Assigner:      g.assigner,
 		Prober:        cfg.Relay,
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
@@ -297,6 +309,8 @@
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
 		g.selector.Prune(now, g.List())
 		g.quotas.prune(now, g.List().Has)
+		g.engineOwner.prune(now)
+		g.assigner.prune(now)
 		g.notices.Prune(g.List().Has)
 	})
 	select {
@@ -366,6 +380,7 @@
 	g.cfg.Relay.SetPeers(relayPeers(next, g.cfg.VM, g.client.Stub))
 	if !slices.Equal(serving, vmNames(old.Serving())) {
 		g.trials.arbiter.Pause(now)
+		g.assigner.updateView(next)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/process/mpgateway/silence.go
+++ b/core/process/mpgateway/silence.go
@@ -9,6 +9,10 @@
 // the view after about two seconds.
 const silentPeriod = time.Second
 
+// earlierBuildPeriod is how long a VM is not asked whose build does not know a call. It has a new one
+// after a restart.
+const earlierBuildPeriod = 10 * time.Second
+
 // silence holds which VMs did not answer lately.
 type silence struct {
 	mu    sync.Mutex
@@ -25,10 +29,13 @@
 }
 
 // add records that vm did not answer. It returns false if that was known.
-func (s *silence) add(now time.Time, vm string) bool {
+func (s *silence) add(now time.Time, vm string) bool { return s.addFor(now, vm, silentPeriod) }
+
+// addFor is like add for a VM that is not to be asked for the given time.
+func (s *silence) addFor(now time.Time, vm string, period time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := now.Before(s.until[vm])
-	s.until[vm] = now.Add(silentPeriod)
+	s.until[vm] = now.Add(period)
 	return !known
 }
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -213,6 +213,7 @@
 		Peer:    r.GetPeer(),
 		Leaving: r.GetLeaving(),
 		Voter:   r.GetVoter(),
+		CPU:     r.GetCpu(),
 	}
 	existing, ok := l.cfg.StateMachine.View().VM(row.Name)
 	if ok && existing == row {
--- a/core/process/mplog/timeline.go
+++ b/core/process/mplog/timeline.go
@@ -35,6 +35,9 @@
 // no rate allowed a request have it in their reason.
 const MsgLimit = "upstream limit"
 
+// MsgEngineOwner is the message of lines about a VM that becomes the owner of a pool of engines.
+const MsgEngineOwner = "owner of engines"
+
 // MsgTrial is the message of lines about a request that was sent as the trial of a feature.
 const MsgTrial = "trial"
 
--- a/core/request/mpassign/mpassign.go
+++ b/core/request/mpassign/mpassign.go
@@ -51,8 +51,8 @@
 	Versions []string
 }
 
-// check returns an error that wraps ErrInvalid if the request is implausible.
-func (r *Request) check(now time.Time) error {
+// Check returns an error that wraps ErrInvalid if the request is implausible.
+func (r *Request) Check(now time.Time) error {
 	tokens := 0
 	for _, part := range r.Parts {
 		if part.Tokens < 0 || part.Tokens > maxTokens {
@@ -145,5 +145,5 @@
 	if h.Ended {
 		r.Deadline = now.Add(1)
 	}
-	return r.check(now)
+	return r.Check(now)
 }
--- a/core/request/mpassign/pool.go
+++ b/core/request/mpassign/pool.go
@@ -117,7 +117,7 @@
 // Assign chooses an engine for a request. It returns false if none may get it, and an error that
 // wraps ErrInvalid if the request is implausible.
 func (p *Pool) Assign(now time.Time, r Request) (Assignment, bool, error) {
-	if err := r.check(now); err != nil {
+	if err := r.Check(now); err != nil {
 		return Assignment{}, false, err
 	}
 	t := p.ms(now)
@@ -359,10 +359,10 @@
 	return n
 }
 
-// Register replaces what is known of the requests that a VM has in flight. It returns an error
+// Register takes over what a VM has in flight, apart from requests that are known. It returns an error
 // that wraps ErrInvalid if the requests are implausible.
 func (p *Pool) Register(now time.Time, vm string, held []Held) error {
-	if len(held) > maxListed {
+	if len(held) > maxListed || vm == "" {
 		return mperror.Wrap(mperror.ErrInvalid, "%d requests in flight", len(held))
 	}
 	for i := range held {
@@ -370,17 +370,10 @@
 			return err
 		}
 	}
-	t := p.ms(now)
 	p.heard[vm] = true
-	for _, f := range p.flights {
-		if f.vm == vm {
-			f.engine.advance(t, p.rateAt(t, f.engine))
-			p.end(f, true)
-		}
-	}
 	for i := range held {
 		if len(p.flights) < maxFlights {
-			p.addHeld(t, vm, &held[i])
+			p.addHeld(p.ms(now), vm, &held[i])
 		}
 	}
 	return nil
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -18,6 +18,7 @@
 	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mplog"
+	"mustardpost.org/core/request/mpassign"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -155,6 +156,10 @@
 // send makes one attempt, which ends the trial. It returns false, and what to add to the
 // reason, if no attempt is possible.
 func (e *exchange) send(ctx context.Context, t trial, last bool) (attemptResult, string, bool) {
+	if !t.isIsolated() {
+		e.assign(ctx, 0)
+	}
+	defer e.settleAssignment(mpassign.Unused) // Unless an attempt was made.
 	row, wait, ok := e.pick(ctx, t)
 	if !ok {
 		t.end(false)
@@ -207,7 +212,9 @@
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
 	defer idleTimer.Stop()
+	defer e.settleAssignment(mpassign.Cancelled) // After a panic.
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
+	e.settleAssignment(assignmentEnd(result, outcome))
 	now := e.p.cfg.Clock()
 	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -16,6 +16,7 @@
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
+	"mustardpost.org/core/request/mpassign"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpbudget"
 	"mustardpost.org/core/request/mpnotice"
@@ -77,9 +78,11 @@
 	// Notices holds what upstreams said of themselves to this VM.
 	Notices *mpnotice.Board
 	Origins Origins
-	Metrics *mpmetric.Set
-	Logger  log.Logger
-	Clock   func() time.Time
+	// Assigner asks the owners of engines; nil if each VM chooses engines by itself.
+	Assigner Assigner
+	Metrics  *mpmetric.Set
+	Logger   log.Logger
+	Clock    func() time.Time
 }
 
 // Proxy forwards requests to upstreams. It is safe for concurrent use.
@@ -126,7 +129,13 @@
 	// origin is the software that began the stream, to which it is bound; unknown until then.
 	origin   mporigin.Origin
 	pickInfo mpselect.PickInfo
-	traits   mpquarantine.Traits
+	// assignment is the engine that the owner of the pool chose for the next attempt, or for the
+	// one that runs; nil if there is none. owner, expected and cachedTokens are those of the last.
+	assignment   *Assignment
+	owner        string
+	expected     time.Duration
+	cachedTokens int
+	traits       mpquarantine.Traits
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	// possibleRuns is the number of attempts that may have run.
@@ -195,6 +204,7 @@
 	defer cancel()
 	defer e.freeInputs()
 	defer e.settleBudget()
+	defer e.settleAssignment(mpassign.Unused)
 	if e.choosePool(ctx) {
 		e.run(ctx)
 	}
@@ -415,7 +425,7 @@
 	}
 	_ = level.Info(e.p.cfg.Logger).Log("msg", "request", "id", e.r.ID, "route", route, "account", e.account, "status", e.status,
 		"reason", e.reason, "upstream", e.upstream, "version", e.version, "resumes", e.r.Resumes, "after", e.r.LastEventID, "sends", e.sends, "stages", e.stagesDuration, "head", e.timeToHeader, "first", e.timeToFirstEvent,
-		"pause", e.longestGap, "framing", e.framing, "tail", e.tail,
+		"owner", e.owner, "expected", e.expected, "cached", e.cachedTokens, "pause", e.longestGap, "framing", e.framing, "tail", e.tail,
 		"took", e.p.cfg.Clock().Sub(e.start), "plan", e.table.Version())
 }
 
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/request/mpassign"
 	"mustardpost.org/core/request/mpnotice"
+	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 )
@@ -70,13 +72,7 @@
 func (e *exchange) pickUsable(t trial) (mplist.Row, bool) {
 	now := e.p.cfg.Clock()
 	candidates := e.untried()
-	var warm []string
-	for _, c := range candidates {
-		if !now.Before(c.ColdUntil) {
-			warm = append(warm, c.Row.ID)
-		}
-	}
-	place := e.p.cfg.Quarantine.Place(now, warm)
+	place := e.placement(now, candidates)
 	isMeant := func(c mpselect.Candidate) bool {
 		if t.isIsolated() {
 			return c.Row.ID == place.Upstream(t.feature)
@@ -84,8 +80,24 @@
 		return !place.Spares(c.Row.ID)
 	}
 	meant := slices.DeleteFunc(slices.Clone(candidates), func(c mpselect.Candidate) bool { return !isMeant(c) })
+	if t.isIsolated() {
+		e.settleAssignment(mpassign.Unused)
+	} else if row, ok := e.pickAssigned(now, meant); ok {
+		return row, true
+	}
 	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok || t.isIsolated() {
 		return row, ok
 	}
 	return e.p.cfg.Selector.Pick(now, candidates, e.pickInfo)
 }
+
+// placement returns which upstreams are spared for trials. Those in their cold start are not.
+func (e *exchange) placement(now time.Time, candidates []mpselect.Candidate) mpquarantine.Placement {
+	var warm []string
+	for _, c := range candidates {
+		if !now.Before(c.ColdUntil) {
+			warm = append(warm, c.Row.ID)
+		}
+	}
+	return e.p.cfg.Quarantine.Place(now, warm)
+}
--- a/core/request/mpproxy/stages.go
+++ b/core/request/mpproxy/stages.go
@@ -23,9 +23,9 @@
 type stageRun struct {
 	exchange *exchange
 	counts   []int
-	// dc is the data centre of the upstream to which the request would be sent when the
-	// run starts.
-	dc    string
+	// dc returns the data centre of the upstream to which the request will be sent, as far as that is
+	// known. The owner of its engines is asked when the first stage with a large result starts.
+	dc    func() string
 	ready []chan struct{}
 
 	mu                sync.Mutex
@@ -50,7 +50,6 @@
 	s := &stageRun{
 		exchange:          e,
 		counts:            e.r.Pieces,
-		dc:                e.p.cfg.Selector.PeekDC(start, e.p.candidates(e.pool), e.pickInfo),
 		ready:             make([]chan struct{}, len(spec.Stages)),
 		results:           make([][]mpbatch.Result, len(spec.Stages)),
 		unfinishedReaders: make([]int, len(spec.Stages)),
@@ -58,6 +57,7 @@
 	if err := s.checkExpectedLatency(start); err != nil {
 		return err
 	}
+	s.dc = sync.OnceValue(func() string { return s.chooseDC(ctx) })
 	err := s.runAll(ctx)
 	e.stagesDuration += e.p.cfg.Clock().Sub(start)
 	return err
@@ -102,6 +102,39 @@
 	return nil
 }
 
+// chooseDC returns the data centre near which large results are to be made. If the request itself reads
+// them, its engine is chosen now.
+func (s *stageRun) chooseDC(ctx context.Context) string {
+	e, now := s.exchange, s.exchange.p.cfg.Clock()
+	readsLarge := func(i int) bool { return e.route.Spec().Stages[i].ResultBytes >= largeResultBytes }
+	if slices.ContainsFunc(e.route.Leaves(s.counts), readsLarge) {
+		e.assign(ctx, s.timeLeft(now))
+	}
+	if e.assignment != nil {
+		if row, ok := e.p.cfg.State.Usable().Find(e.pool.Spec().Name, e.assignment.Engine); ok {
+			return row.DC
+		}
+	}
+	return e.p.cfg.Selector.PeekDC(now, e.p.candidates(e.pool), e.pickInfo)
+}
+
+// timeLeft returns the expected time until the stages that have not ended do.
+func (s *stageRun) timeLeft(now time.Time) time.Duration {
+	left := time.Duration(0)
+	for i, n := range s.counts {
+		select {
+		case <-s.ready[i]:
+			continue
+		default:
+		}
+		if n > 0 {
+			_, expected := s.remainingTime(now, i)
+			left = max(left, s.backlog(now, i)+s.batchDuration(i)+expected)
+		}
+	}
+	return max(left-s.exchange.p.forecast.firstTokenTime(s.exchange.pool.Spec().Name, s.exchange.r.Prompt), 0)
+}
+
 // checkExpectedLatency returns an error that wraps ErrDeadline if, judging by the
 // queues of its stages, the request would both be late and wait long in them. Such a
 // request should retry later rather than take capacity from others in the early stages.
@@ -239,7 +272,7 @@
 		CrossDCBytes: s.exchange.route.Spec().Stages[i].ResultBytes,
 	}
 	if spec.CrossDCBytes >= largeResultBytes {
-		spec.DC = s.dc
+		spec.DC = s.dc()
 	}
 	inputs := s.inputs(i)
 	if len(inputs) == 0 {
--- a/core/request/mpproxy/stream.go
+++ b/core/request/mpproxy/stream.go
@@ -85,6 +85,7 @@
 func (e *exchange) writeStream(ctx context.Context, resp *http.Response, out []byte, flusher *http.ResponseController) {
 	if !e.headerWritten {
 		e.timeToFirstEvent = e.p.cfg.Clock().Sub(e.sentAt)
+		e.reportFirstToken()
 		e.p.forecast.recordFirstToken(e.pool.Spec().Name, e.r.Prompt, e.timeToFirstEvent)
 		e.copyHeader(resp)
 		e.w.Header().Del("Content-Length")
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -145,14 +145,7 @@
 	if !ok {
 		return mplist.Row{}, false
 	}
-	st := s.state(c.Row.ID)
-	st.inFlight++
-	st.work += info.Work
-	st.lastUsed = now
-	st.brittle = c.Brittle
-	if now.Before(c.ColdUntil) {
-		st.lastColdPick = now
-	}
+	s.begin(now, c, info)
 	return c.Row, true
 }
 
--- a/core/version/mplist/mplist.go
+++ b/core/version/mplist/mplist.go
@@ -149,6 +149,16 @@
 	return u.pools[pool]
 }
 
+// Find returns the usable upstream of a pool with the given ID.
+func (u *Usable) Find(pool, id string) (Row, bool) {
+	rows := u.Rows(pool)
+	i := slices.IndexFunc(rows, func(r Row) bool { return r.ID == id })
+	if i < 0 {
+		return Row{}, false
+	}
+	return rows[i], true
+}
+
 // Listed returns all upstreams of a pool, also those that may get no new work. The caller must
 // not modify them.
 func (u *Usable) Listed(pool string) []Row {
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -34,6 +34,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Voter VMs hold the replicated state and can identify the leader.
 	Voter bool `json:"voter,omitempty"`
+	// CPU is the VM's share of processors, in thousandths of a core; 0 if it is unknown.
+	CPU uint32 `json:"cpu,omitempty"`
 }
 
 // Routing is a routing plan, which operators publish as a whole under a version
