mpselect, mpproxy, mpadapter: Choose plain upstreams by reported load and speed

A VM learned the latency of each upstream from the few requests that it sends there itself, from 20 ms on, whatever the requests were, and did not know what other VMs had waiting there.

The expected latency is now that of the kind of request (route and pool), times the upstream's factor, times its queue: this VM's own attempts and those of other VMs, as the upstream reported lately. Failures do not count as fast responses any more. Where nothing is reported and all are alike, the order of the candidates is as before.

Shown by the existing tests of mpselect, mpproxy, mpgateway and mpadapter with -race.

--- a/core/process/mpgateway/quotas_test.go
+++ b/core/process/mpgateway/quotas_test.go
@@ -27,6 +27,7 @@
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpview"
@@ -71,6 +72,8 @@
 func (limitDialect) LacksInputs(int, http.Header) bool                       { return false }
 func (limitDialect) Notice(int, http.Header) mpnotice.Notice                 { return mpnotice.Notice{} }
 func (limitDialect) IsOtherProcess(int) bool                                 { return false }
+func (limitDialect) Load(int, http.Header) mpspeed.Load                      { return mpspeed.Load{} }
+
 func (limitDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
 	return mpquota.ParseStatement(h.Values("Limit"))
 }
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -209,7 +209,7 @@
 	defer idleTimer.Stop()
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	now := e.p.cfg.Clock()
-	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
+	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, e.workTime(now, result))
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row, t)
@@ -223,6 +223,15 @@
 	return result, why
 }
 
+// workTime returns how long the upstream took for the request, or 0 if it did not do its work:
+// failures are often answered at once.
+func (e *exchange) workTime(now time.Time, result attemptResult) time.Duration {
+	if result != answered || e.status >= http.StatusInternalServerError {
+		return 0
+	}
+	return now.Sub(e.sentAt)
+}
+
 // logAttempt logs an attempt that did not answer the request, and any change in the
 // upstream's health. Other attempts are covered by the log line of the request.
 func (e *exchange) logAttempt(row mplist.Row, result attemptResult, change mpselect.HealthChange, why string, took time.Duration) {
@@ -293,6 +302,7 @@
 	}
 	e.p.cfg.Quotas.Observe(e.sentAt, row.ID, d.RateLimit(resp.StatusCode, resp.Header))
 	e.observeNotice(row, d.Notice(resp.StatusCode, resp.Header))
+	e.observeLoad(row, d.Load(resp.StatusCode, resp.Header))
 	switch {
 	case d.LacksInputs(resp.StatusCode, resp.Header):
 		return inputsMissing, mpselect.Neutral, "stage results no longer exist"
--- a/core/request/mpproxy/fakes_test.go
+++ b/core/request/mpproxy/fakes_test.go
@@ -11,6 +11,7 @@
 
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
+	"mustardpost.org/core/request/mpspeed"
 )
 
 // reply is the scripted behaviour of an upstream for one attempt.
@@ -106,3 +107,7 @@
 func (fakeDialect) RateLimit(_ int, h http.Header) mpquota.Statement {
 	return mpquota.ParseStatement(h.Values("Limit"))
 }
+
+func (fakeDialect) Load(_ int, h http.Header) mpspeed.Load {
+	return mpspeed.ParseLoad(h.Values("Load"))
+}
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -267,6 +267,7 @@
 	}
 	e.pool = e.table.Pool(name)
 	e.pickInfo = e.p.pickInfo(e.r, e.pool)
+	e.pickInfo.Kind = name + " " + e.route.Spec().Name
 	e.p.cfg.Budget(name).Deposit()
 	return true
 }
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -9,6 +9,7 @@
 
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 )
 
@@ -65,6 +66,12 @@
 	}
 }
 
+// observeLoad records what an answer says of the upstream's load and speed.
+func (e *exchange) observeLoad(row mplist.Row, l mpspeed.Load) {
+	l.Count(e.p.cfg.Metrics.Add)
+	e.p.cfg.Selector.Report(e.p.cfg.Clock(), row.ID, l)
+}
+
 // pickUsable selects an upstream whatever its rate. Trials of a suspect go to the same upstream
 // from all VMs, which other requests spare for a while.
 func (e *exchange) pickUsable(t trial) (mplist.Row, bool) {
--- a/core/request/mpproxy/types.go
+++ b/core/request/mpproxy/types.go
@@ -13,6 +13,7 @@
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquota"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -87,6 +88,8 @@
 	Notice(status int, h http.Header) mpnotice.Notice
 	// RateLimit returns what the response says of the rate that the upstream takes.
 	RateLimit(status int, h http.Header) mpquota.Statement
+	// Load returns what the response says of the upstream's load and speed.
+	Load(status int, h http.Header) mpspeed.Load
 }
 
 // Quotas keeps the rates that upstreams set for all VMs together.
--- a/core/request/mpselect/mpselect.go
+++ b/core/request/mpselect/mpselect.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mprank"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 )
 
@@ -27,12 +28,8 @@
 	// remoteDCPenalty is added to the expected latency of upstreams in other data
 	// centres. It is about one round trip.
 	remoteDCPenalty = 8 * time.Millisecond
-	// latencyWeight is the weight of the newest sample in the moving average of an
-	// upstream's latency.
-	latencyWeight  = 0.2
-	initialLatency = 20 * time.Millisecond
-	coldInterval   = time.Second
-	stateRetention = time.Minute
+	coldInterval    = time.Second
+	stateRetention  = time.Minute
 	// goneDuration is how long an upstream is not used after another process answered at its
 	// address. The list has it for some seconds more; it may start again under its ID.
 	goneDuration = 5 * time.Second
@@ -53,6 +50,9 @@
 	// Work is the cost of the attempt: its tokens at model engines, 1 elsewhere.
 	Work float64
 	DC   string
+	// Kind names the requests whose work is comparable to that of this one, such as those of one
+	// route at one pool.
+	Kind string
 	// Exclude lists the IDs of upstreams to which the request was already sent.
 	Exclude []string
 }
@@ -80,8 +80,11 @@
 	work                float64
 	consecutiveFailures int
 	avoidUntil          time.Time
-	meanLatency         time.Duration
-	lastUsed            time.Time
+	// others is the number of requests of other VMs that the upstream ran or had waiting when it
+	// last reported its load, and reportedAt when that was.
+	others     float64
+	reportedAt time.Time
+	lastUsed   time.Time
 	// lastColdPick is when the upstream was last picked during its cold start.
 	lastColdPick time.Time
 	// window is the number of attempts in flight that a brittle upstream may get; 0 if it is not
@@ -106,14 +109,21 @@
 type Selector struct {
 	cfg Config
 
+	// speed holds how fast the upstreams are.
+	speed *mpspeed.Board
+
 	mu     sync.Mutex
 	states map[string]*upstreamState
+	kinds  map[string]*kindState
 	peers  []string
 }
 
 // New returns a Selector without state for any upstream.
 func New(cfg Config) *Selector {
-	return &Selector{cfg: cfg, states: map[string]*upstreamState{}, peers: []string{cfg.VM}}
+	return &Selector{
+		cfg: cfg, speed: mpspeed.New(mpspeed.Config{ResponseWeight: responseWeight}),
+		states: map[string]*upstreamState{}, kinds: map[string]*kindState{}, peers: []string{cfg.VM},
+	}
 }
 
 // SetPeers sets the names of the VMs that share the upstreams, including this one.
@@ -209,9 +219,9 @@
 			return s.state(a.Row.ID).avoidUntil.Compare(s.state(b.Row.ID).avoidUntil)
 		}), true
 	case info.AffinityKey != 0:
-		return s.pickByAffinity(healthy, info), true
+		return s.pickByAffinity(now, healthy, info), true
 	}
-	return s.pickByExpectedLatency(healthy, info), true
+	return s.pickByExpectedLatency(now, healthy, info), true
 }
 
 // admitsCold reports whether this VM may send one more request to the candidate,
@@ -265,46 +275,29 @@
 	st.fullUntil = now.Add(time.Duration(brittleMargin * float64(len(s.peers)) / float64(st.brittle) * float64(time.Second)))
 }
 
-// pickByAffinity returns the first upstream in the rendezvous order of the
-// affinity key whose work is within the load bound.
-func (s *Selector) pickByAffinity(list []Candidate, info PickInfo) Candidate {
+// pickByAffinity returns the first upstream in the rendezvous order of the affinity key whose
+// work, as time at an upstream of the usual speed, is within the load bound.
+func (s *Selector) pickByAffinity(now time.Time, list []Candidate, info PickInfo) Candidate {
 	total := 0.0
-	for _, c := range list {
-		total += s.state(c.Row.ID).work
-	}
-	limit := loadBoundFactor*total/float64(len(list)) + loadBoundSlackTokens
+	work := map[string]float64{}
 	byID := map[string]Candidate{}
 	ids := make([]string, len(list))
 	for i, c := range list {
 		ids[i] = c.Row.ID
 		byID[c.Row.ID] = c
+		work[c.Row.ID] = s.state(c.Row.ID).work * s.speed.Factor(now, c.Row.ID)
+		total += work[c.Row.ID]
 	}
+	limit := loadBoundFactor*total/float64(len(list)) + loadBoundSlackTokens
 	order := mprank.Of(info.AffinityKey, ids)
 	for _, id := range order {
-		if s.state(id).work <= limit {
+		if work[id] <= limit {
 			return byID[id]
 		}
 	}
 	return byID[order[0]]
 }
 
-// pickByExpectedLatency returns the upstream with the lowest expected latency.
-func (s *Selector) pickByExpectedLatency(list []Candidate, info PickInfo) Candidate {
-	best, lowestCost := list[0], math.Inf(1)
-	for _, c := range list {
-		st := s.state(c.Row.ID)
-		queue := 1 + float64(st.inFlight)/float64(max(c.Row.Slots, 1))
-		cost := queue * float64(st.meanLatency)
-		if c.Row.DC != info.DC {
-			cost += float64(remoteDCPenalty)
-		}
-		if cost < lowestCost {
-			best, lowestCost = c, cost
-		}
-	}
-	return best
-}
-
 // HealthChange is the effect of an attempt on this VM's view of an upstream.
 type HealthChange int
 
@@ -320,7 +313,8 @@
 )
 
 // Done ends an attempt that Pick counted, records its outcome and latency, and
-// returns the resulting health change.
+// returns the resulting health change. The latency is 0 if it does not tell how fast the
+// upstream works.
 func (s *Selector) Done(now time.Time, id string, info PickInfo, outcome Outcome, latency time.Duration) HealthChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -334,7 +328,7 @@
 		if st.window > 0 {
 			st.window += 1.0 / brittleGrowth
 		}
-		st.meanLatency += time.Duration(latencyWeight * float64(latency-st.meanLatency))
+		s.observe(now, id, info, latency)
 		if failed {
 			return Restored
 		}
@@ -362,7 +356,7 @@
 func (s *Selector) state(id string) *upstreamState {
 	st, ok := s.states[id]
 	if !ok {
-		st = &upstreamState{meanLatency: initialLatency}
+		st = &upstreamState{}
 		s.states[id] = st
 	}
 	return st
@@ -382,4 +376,10 @@
 			delete(s.states, id)
 		}
 	}
+	for name, k := range s.kinds {
+		if now.Sub(k.lastUsed) > stateRetention {
+			delete(s.kinds, name)
+		}
+	}
+	s.speed.Prune(now, func(id string) bool { return listed[id] })
 }
