mpbatch, mpstage, mpgateway: Start calls where they are expected to end first

Owners of stages expected the mean of earlier calls of an upstream, whose newest one weighed 0.3: an upstream that had been slow for a moment was passed over for several calls, and one that had just turned slow was not.

The expected duration of a call comes from a mpspeed.Board that the shards of an owner share; answers to calls carry the upstream's report. The capacity of a pool follows from the long-term factors alone. Metrics speed.reports, speed.absent and speed.skipped count the figures, and speed.requests.min to speed.pieces.max are the factors.

Shown by the existing tests of these packages and of mpadapter with -race.

--- a/core/process/mpgateway/metrics.go
+++ b/core/process/mpgateway/metrics.go
@@ -31,9 +31,26 @@
 	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
 	g.metrics.Gauge("origins", func() any { return g.origins.ledger.Count() })
 	g.metrics.Gauge("relay.tunnels", func() any { return g.cfg.Relay.Tunnels() })
+	g.publishSpeedMetrics()
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
 }
 
+// publishSpeedMetrics registers the gauges that show by which factor work takes longer at the
+// fastest and at the slowest upstream than usual, among those that this VM sends requests to and
+// among those that it batches the pieces of.
+func (g *Gateway) publishSpeedMetrics() {
+	for name, bounds := range map[string]func(time.Time) (least, greatest float64){"requests": g.selector.SpeedRange, "pieces": g.owner.SpeedRange} {
+		g.metrics.Gauge("speed."+name+".min", func() any {
+			least, _ := bounds(time.Now())
+			return least
+		})
+		g.metrics.Gauge("speed."+name+".max", func() any {
+			_, greatest := bounds(time.Now())
+			return greatest
+		})
+	}
+}
+
 // publishVoterMetrics registers the gauges that show the health of this VM's voter and of
 // the quorum.
 func (g *Gateway) publishVoterMetrics() {
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -296,6 +296,7 @@
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
 		g.selector.Prune(now, g.List())
+		g.owner.Prune(now, g.List().Has)
 		g.quotas.prune(now, g.List().Has)
 		g.notices.Prune(g.List().Has)
 	})
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -24,6 +24,7 @@
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -80,6 +81,8 @@
 	ctx context.Context
 	// summaries limits the log lines about refused stages.
 	summaries *mplog.Summarizer
+	// speed holds how fast the upstreams of all shards are.
+	speed *mpspeed.Board
 
 	mu     sync.Mutex
 	queues map[shard]*shardQueue
@@ -103,7 +106,10 @@
 
 // NewOwner returns an Owner whose goroutines stop when ctx is done.
 func NewOwner(ctx context.Context, cfg OwnerConfig) *Owner {
-	return &Owner{cfg: cfg, ctx: ctx, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgStagesRefused), queues: map[shard]*shardQueue{}, known: newHandleLedger()}
+	return &Owner{
+		cfg: cfg, ctx: ctx, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgStagesRefused), speed: mpspeed.New(mpspeed.Config{ResponseWeight: 1}),
+		queues: map[shard]*shardQueue{}, known: newHandleLedger(),
+	}
 }
 
 // Update replaces the plan and the upstreams that may get calls.
@@ -141,7 +147,7 @@
 		return nil, mperror.Wrap(mperror.ErrNotFound, "pool %s", s.pool)
 	}
 	spec := *o.table.Pool(s.pool).Spec().Batch
-	q := &shardQueue{owner: o, shard: s, wakeup: make(chan struct{}, 1), batcher: mpbatch.New(mpbatch.Config{Spec: spec, Rate: o.cfg.Quotas.Rate})}
+	q := &shardQueue{owner: o, shard: s, wakeup: make(chan struct{}, 1), batcher: mpbatch.New(mpbatch.Config{Spec: spec, Rate: o.cfg.Quotas.Rate, Speed: o.speed})}
 	o.queues[s] = q
 	o.refresh(q)
 	go q.run()
@@ -232,6 +238,15 @@
 	return n
 }
 
+// SpeedRange returns the least and the greatest factor by which work takes longer at an upstream
+// than usual.
+func (o *Owner) SpeedRange(now time.Time) (least, greatest float64) { return o.speed.Range(now) }
+
+// Prune forgets the speed of upstreams that isListed does not report.
+func (o *Owner) Prune(now time.Time, isListed func(upstream string) bool) {
+	o.speed.Prune(now, isListed)
+}
+
 func (q *shardQueue) wake() {
 	select {
 	case q.wakeup <- struct{}{}:
@@ -295,9 +310,10 @@
 	q.owner.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	q.owner.cfg.Metrics.ObserveDuration("batch", now.Sub(start))
 	_ = level.Info(q.owner.cfg.Logger).Log("msg", "batch", "pool", q.shard.pool, "shard", q.shard, "upstream", c.Upstream.ID, "call", c.ID, "pieces", len(c.Items),
-		"expected", c.Expected, "took", now.Sub(start), "ending", out.Status, "missing", failureReasons(out.Items), "err", out.Err)
+		"expected", c.Expected, "took", now.Sub(start), "percent", out.Load.Percent, "ending", out.Status, "missing", failureReasons(out.Items), "err", out.Err)
 	q.owner.cfg.Quotas.Observe(start, c.Upstream.ID, out.RateLimit)
 	q.owner.cfg.Notices.Observe(now, start, c.Upstream.ID, out.Notice)
+	out.Load.Count(q.owner.cfg.Metrics.Add)
 	q.finish(c, out)
 }
 
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -62,7 +62,7 @@
 		if !s.listed || s.backoffUntil.Sub(now) > initialBackoff {
 			continue
 		}
-		callsPerSecond := 1 / b.callDuration(s, b.cfg.Spec.MaxPieces).Seconds()
+		callsPerSecond := 1 / b.longCallDuration(now, s, b.cfg.Spec.MaxPieces).Seconds()
 		if limit, ok := b.rate(s); ok {
 			callsPerSecond = min(callsPerSecond, limit)
 		}
@@ -102,10 +102,15 @@
 	return j.firstCallAt.IsZero() && wait > MaxLateWait && now.Add(wait).After(j.spec.SoftDeadline)
 }
 
-// callDuration returns the expected duration of a call to s with the given number of
-// pieces.
-func (b *Batcher) callDuration(s *upstreamState, pieces int) time.Duration {
-	return time.Duration(float64(b.cfg.Spec.CallDuration(pieces)) * s.slowdown)
+// callDuration returns the expected duration of a call with the given number of pieces that
+// starts now at s.
+func (b *Batcher) callDuration(now time.Time, s *upstreamState, pieces int) time.Duration {
+	return b.cfg.Speed.Duration(now, s.upstream.ID, b.cfg.Spec.CallDuration(pieces))
+}
+
+// longCallDuration returns the mean duration of calls to s over a longer time.
+func (b *Batcher) longCallDuration(now time.Time, s *upstreamState, pieces int) time.Duration {
+	return time.Duration(float64(b.cfg.Spec.CallDuration(pieces)) * b.cfg.Speed.LongFactor(now, s.upstream.ID))
 }
 
 // Cancel ends a job whose request was cancelled. Its results are freed, also when the
--- a/core/request/mpbatch/batcher.go
+++ b/core/request/mpbatch/batcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mproute"
 )
 
@@ -19,6 +20,8 @@
 	// Rate returns the calls per second that an upstream takes, as far as it names a limit. It
 	// is nil if none does.
 	Rate func(upstream string) (float64, bool)
+	// Speed holds how fast the upstreams are. If it is nil, the Batcher has a Board of its own.
+	Speed *mpspeed.Board
 }
 
 type storedResult struct {
@@ -50,6 +53,9 @@
 
 // New returns a Batcher without upstreams.
 func New(cfg Config) *Batcher {
+	if cfg.Speed == nil {
+		cfg.Speed = mpspeed.New(mpspeed.Config{ResponseWeight: 1})
+	}
 	return &Batcher{
 		cfg:             cfg,
 		upstreamsByID:   map[string]*upstreamState{},
@@ -71,7 +77,7 @@
 	for _, upstream := range list {
 		s, ok := b.upstreamsByID[upstream.ID]
 		if !ok {
-			s = &upstreamState{slowdown: 1, usedBytes: b.storedBytes(upstream.ID)}
+			s = &upstreamState{usedBytes: b.storedBytes(upstream.ID)}
 			b.upstreamsByID[upstream.ID] = s
 		}
 		s.upstream = upstream
@@ -126,7 +132,7 @@
 	for _, c := range open {
 		s := b.upstreamsByID[c.call.Upstream.ID]
 		c.usedBytes = s.usedBytes
-		c.call.Expected = b.callDuration(s, len(c.call.Items))
+		c.call.Expected = b.callDuration(now, s, len(c.call.Items))
 		c.call.Timeout = timeoutFactor*c.call.Expected + timeoutSlack
 		calls = append(calls, c.call)
 	}
@@ -147,10 +153,11 @@
 	delete(b.activeCalls, id)
 	s := b.upstreamsByID[c.call.Upstream.ID]
 	s.call = nil
+	b.cfg.Speed.Record(now, s.upstream.ID, out.Load)
 	switch out.Status {
 	case Answered:
 		s.failures = 0
-		s.observeDuration(now.Sub(c.started), b.cfg.Spec.CallDuration(len(c.jobs)))
+		b.cfg.Speed.Observe(now, s.upstream.ID, b.cfg.Spec.CallDuration(len(c.jobs)), now.Sub(c.started))
 	case Refused:
 		s.backoffUntil = now.Add(refusedBackoff)
 	case Deferred:
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -12,6 +12,9 @@
 	// wait for an upstream in its preferred data centre, since such traffic is slow and
 	// costly.
 	largeTransferBytes = 100_000
+	// clearRatio is the ratio of two expected durations from which they count as different. The
+	// factors of upstreams that are equally fast differ by less.
+	clearRatio = 1.15
 )
 
 // duplicateOverdue queues the unfinished pieces of overdue calls again, so that other
@@ -51,7 +54,7 @@
 	}
 	var idle *upstreamState
 	for _, s := range b.upstreams {
-		if s.isIdle(now) && b.hasMemory(now, s, j) && (idle == nil || b.isPreferred(s, idle, j)) {
+		if s.isIdle(now) && b.hasMemory(now, s, j) && (idle == nil || b.isPreferred(now, s, idle, j)) {
 			idle = s
 		}
 	}
@@ -82,7 +85,7 @@
 			continue
 		}
 		wait := max(s.call.remaining(now), s.deferredUntil.Sub(now))
-		if now.Add(wait + b.callDuration(s, b.cfg.Spec.MaxPieces)).Before(j.spec.SoftDeadline) {
+		if now.Add(wait + b.callDuration(now, s, b.cfg.Spec.MaxPieces)).Before(j.spec.SoftDeadline) {
 			b.reserved[s.upstream.ID]++
 			return true
 		}
@@ -102,16 +105,23 @@
 	return limit == 0 || occupied == 0 || float64(occupied+j.spec.ResultBytes) <= limit
 }
 
-func (b *Batcher) isPreferred(s, other *upstreamState, j *Job) bool {
+// isPreferred reports whether the next piece of j is better made at the idle upstream s than at
+// the idle upstream other: in the preferred data centre, then where the call ends clearly sooner,
+// then where results use less memory.
+func (b *Batcher) isPreferred(now time.Time, s, other *upstreamState, j *Job) bool {
 	if (s.upstream.DC == j.preferredDC()) != (other.upstream.DC == j.preferredDC()) {
 		return s.upstream.DC == j.preferredDC()
 	}
-	if s.slowdown > 1.5*other.slowdown || other.slowdown > 1.5*s.slowdown {
-		return s.slowdown < other.slowdown
+	duration, otherDuration := b.callDuration(now, s, j.remaining), b.callDuration(now, other, j.remaining)
+	if isClearlyShorter(duration, otherDuration) || isClearlyShorter(otherDuration, duration) {
+		return duration < otherDuration
 	}
 	return s.usedBytes < other.usedBytes
 }
 
+// isClearlyShorter reports whether a is shorter than b by more than estimates usually err.
+func isClearlyShorter(a, b time.Duration) bool { return float64(a)*clearRatio < float64(b) }
+
 func (b *Batcher) addItem(c *activeCall, j *Job, i int) {
 	s := b.upstreamsByID[c.call.Upstream.ID]
 	s.usedBytes += j.spec.ResultBytes
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -14,6 +14,7 @@
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
+	"mustardpost.org/core/request/mpspeed"
 )
 
 // JobSpec describes the work for one stage of one request.
@@ -116,6 +117,8 @@
 	RateLimit mpquota.Statement
 	// Notice is what the answer says of the upstream.
 	Notice mpnotice.Notice
+	// Load is what the answer says of the upstream's load and speed.
+	Load mpspeed.Load
 	// Err is the cause of a Failed call, for the log.
 	Err error
 }
--- a/core/request/mpbatch/upstream.go
+++ b/core/request/mpbatch/upstream.go
@@ -26,10 +26,6 @@
 	// The configured result sizes are approximate, and a piece that finds no memory
 	// holds up all results of the earlier stages.
 	memoryShare = 0.95
-
-	// slowdownWeight is the weight of the latest call in the moving average slowdown.
-	slowdownWeight = 0.3
-	maxSlowdown    = 8.0
 )
 
 // upstreamState is what the Batcher knows about one upstream.
@@ -50,9 +46,6 @@
 	// decays to zero at foreignUntil.
 	foreignBytes int
 	foreignUntil time.Time
-	// slowdown is a moving average of the measured duration of a call divided by the
-	// configured one.
-	slowdown float64
 }
 
 // activeCall is a call that is running.
@@ -91,14 +84,6 @@
 	return b.cfg.Rate(s.upstream.ID)
 }
 
-func (s *upstreamState) observeDuration(took, configured time.Duration) {
-	if configured <= 0 {
-		return
-	}
-	ratio := min(float64(took)/float64(configured), maxSlowdown)
-	s.slowdown += slowdownWeight * (ratio - s.slowdown)
-}
-
 // recordNoMemory records that pieces of c, whose results need missingBytes, found no
 // memory. The memory that this owner's results did not use when the call started is
 // assumed to hold results of a former owner.
