--- a/core/request/mpassign/cache.go
+++ b/core/request/mpassign/cache.go
@@ -1,5 +1,9 @@
 package mpassign
 
+// maxCachedParts bounds the parts that are remembered for an engine, and so the memory of a Pool: callers
+// choose the sizes of parts, and may name many that take no tokens.
+const maxCachedParts = 512
+
 // part is a prompt part that at least one engine has cached.
 type part struct {
 	hash   uint64
@@ -35,6 +39,7 @@
 			en = &entry{part: pt, engine: e, at: len(pt.entries), addedBy: f}
 			pt.entries = append(pt.entries, en)
 			e.cachedTokens += pt.tokens
+			e.cachedParts++
 		} else {
 			e.unlink(en)
 		}
@@ -70,7 +75,7 @@
 
 // evict removes the least recently used parts that nobody uses until the rest fits.
 func (p *Pool) evict(e *engine) {
-	for en := e.last; en != nil && e.cachedTokens+e.ownTokens > p.cfg.CacheTokens; {
+	for en := e.last; en != nil && (e.cachedParts > maxCachedParts || p.cfg.CacheTokens > 0 && e.cachedTokens+e.ownTokens > p.cfg.CacheTokens); {
 		previous := en.prev
 		if en.pins == 0 {
 			p.remove(en)
@@ -84,6 +89,7 @@
 	e, pt := en.engine, en.part
 	e.unlink(en)
 	e.cachedTokens -= pt.tokens
+	e.cachedParts--
 	last := len(pt.entries) - 1
 	pt.entries[en.at] = pt.entries[last]
 	pt.entries[en.at].at = en.at
--- a/core/request/mpassign/engine.go
+++ b/core/request/mpassign/engine.go
@@ -75,10 +75,11 @@
 	// flights is the number of requests, and ownTokens the memory that they hold besides the parts.
 	flights   int
 	ownTokens int
-	// first and last are the most and the least recently used part, cachedTokens the memory of all
-	// parts, and pinnedTokens that of those in use.
+	// first and last are the most and the least recently used part, cachedTokens the memory of the
+	// cachedParts parts, and pinnedTokens that of those in use.
 	first, last  *entry
 	cachedTokens int
+	cachedParts  int
 	pinnedTokens int
 
 	pace       pace
--- a/core/request/mpassign/mpassign_test.go
+++ b/core/request/mpassign/mpassign_test.go
@@ -343,3 +343,22 @@
 		t.Error("a request at an engine that has left was settled")
 	}
 }
+
+// Guards against callers whose prompts name ever new parts without tokens, which no cache evicts.
+func TestMemoryIsBounded(t *testing.T) {
+	for name, capacity := range map[string]int{"known memory": 1000, "unknown memory": 0} {
+		p := New(epoch, 0, Config{CacheTokens: capacity})
+		p.SetEngines(epoch, []Row{{ID: "e0", Slots: 4}})
+		for i := range uint64(500) {
+			r := request(i + 1)
+			for n := range uint64(20) {
+				r.Parts = append(r.Parts, Part{Hash: 100*i + n})
+			}
+			assign(t, p, epoch, r)
+			p.Settle(epoch, i+1, Outcome{End: Done})
+		}
+		if len(p.parts) > maxCachedParts {
+			t.Errorf("%s: %d parts are kept", name, len(p.parts))
+		}
+	}
+}
--- a/core/request/mpassign/random_test.go
+++ b/core/request/mpassign/random_test.go
@@ -26,11 +26,11 @@
 		own[f.engine] += f.ownTokens
 	}
 	for _, e := range p.engines {
-		cached, pinned, pins := 0, 0, 0
+		cached, pinned, parts := 0, 0, 0
 		for en := e.first; en != nil; en = en.next {
 			entries++
 			cached += en.part.tokens
-			pins += en.pins
+			parts++
 			if en.pins > 0 {
 				pinned += en.part.tokens
 			}
@@ -38,7 +38,7 @@
 				t.Fatalf("%s: part %d is not found", e.id, en.part.hash)
 			}
 		}
-		if e.flights != flights[e] || e.ownTokens != own[e] || e.cachedTokens != cached || e.pinnedTokens != pinned {
+		if e.flights != flights[e] || e.ownTokens != own[e] || e.cachedTokens != cached || e.cachedParts != parts || e.pinnedTokens != pinned {
 			t.Fatalf("%s: %d requests, %d own, %d cached and %d pinned tokens, want %d, %d, %d and %d",
 				e.id, e.flights, e.ownTokens, e.cachedTokens, e.pinnedTokens, flights[e], own[e], cached, pinned)
 		}
