--- a/core/process/mpgateway/engineowner.go
+++ b/core/process/mpgateway/engineowner.go
@@ -219,7 +219,7 @@
 // numbers in messages.
 func decodeOutcome(s *mpwire.AssignSettlement) (mpassign.Outcome, bool) {
 	end := mpassign.End(s.GetEnd())
-	return mpassign.Outcome{End: end, FirstToken: mptime.FromMillis(s.GetFirstMs()), Pace: float64(s.GetPace()) / 100}, end >= mpassign.Done && end <= mpassign.Cancelled
+	return mpassign.Outcome{End: end, FirstToken: mptime.FromMillis(s.GetFirstMs()), Pace: float64(s.GetPace()) / 100}, end >= mpassign.Done && end <= mpassign.Gone
 }
 
 // Assign chooses an engine for a request of another VM.
--- a/core/request/mpassign/mpassign.go
+++ b/core/request/mpassign/mpassign.go
@@ -100,6 +100,8 @@
 	Failed
 	// Cancelled means that the VM gave the request up, which says nothing about the engine.
 	Cancelled
+	// Gone means that another process answered at the engine's address.
+	Gone
 )
 
 // Outcome is what a VM reports about an assigned request.
