--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -18,6 +18,7 @@
 	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/process/mplog"
+	"mustardpost.org/core/request/mpassign"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
@@ -155,6 +156,10 @@
 // send makes one attempt, which ends the trial. It returns false, and what to add to the
 // reason, if no attempt is possible.
 func (e *exchange) send(ctx context.Context, t trial, last bool) (attemptResult, string, bool) {
+	if !t.isIsolated() {
+		e.assign(ctx, 0)
+	}
+	defer e.settleAssignment(mpassign.Unused) // Unless an attempt was made.
 	row, wait, ok := e.pick(ctx, t)
 	if !ok {
 		t.end(false)
@@ -202,14 +207,16 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream, e.version = row.ID, row.Version
-	e.framing, e.tail, e.beganAt, e.isSound, e.roomWait = noBody, 0, time.Time{}, false, 0
+	e.framing, e.tail, e.beganAt, e.isSound, e.roomWait, e.pace = noBody, 0, time.Time{}, false, 0, 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
 	defer idleTimer.Stop()
+	defer e.settleAssignment(mpassign.Cancelled) // After a panic.
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
+	e.settleAssignment(assignmentEnd(result, outcome))
 	now := e.p.cfg.Clock()
-	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt)-e.roomWait)
+	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, e.workTime(now, result))
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row, t)
@@ -223,6 +230,15 @@
 	return result, why
 }
 
+// workTime returns how long the upstream took for the request, or 0 if it did not do its work:
+// failures are often answered at once. The wait for room in this VM's memory is no work.
+func (e *exchange) workTime(now time.Time, result attemptResult) time.Duration {
+	if result != answered || e.status >= http.StatusInternalServerError {
+		return 0
+	}
+	return now.Sub(e.sentAt) - e.roomWait
+}
+
 // logAttempt logs an attempt that did not answer the request, and any change in the
 // upstream's health. Other attempts are covered by the log line of the request.
 func (e *exchange) logAttempt(row mplist.Row, result attemptResult, change mpselect.HealthChange, why string, took time.Duration) {
@@ -295,6 +311,7 @@
 	}
 	e.p.cfg.Quotas.Observe(e.sentAt, row.ID, d.RateLimit(resp.StatusCode, resp.Header))
 	e.observeNotice(row, d.Notice(resp.StatusCode, resp.Header))
+	e.observeLoad(row, d.Load(resp.StatusCode, resp.Header))
 	switch {
 	case d.LacksInputs(resp.StatusCode, resp.Header):
 		return inputsMissing, mpselect.Neutral, "stage results no longer exist"
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -7,8 +7,11 @@
 
 	"github.com/go-kit/log/level"
 
+	"mustardpost.org/core/request/mpassign"
 	"mustardpost.org/core/request/mpnotice"
+	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 )
 
@@ -65,18 +68,19 @@
 	}
 }
 
+// observeLoad records what an answer says of the upstream's load and speed.
+func (e *exchange) observeLoad(row mplist.Row, l mpspeed.Load) {
+	l.Count(e.p.cfg.Metrics.Add)
+	e.pace = l.Percent / 100
+	e.p.cfg.Selector.Report(e.p.cfg.Clock(), row.ID, l)
+}
+
 // pickUsable selects an upstream whatever its rate. Trials of a suspect go to the same upstream
 // from all VMs, which other requests spare for a while.
 func (e *exchange) pickUsable(t trial) (mplist.Row, bool) {
 	now := e.p.cfg.Clock()
 	candidates := e.untried()
-	var warm []string
-	for _, c := range candidates {
-		if !now.Before(c.ColdUntil) {
-			warm = append(warm, c.Row.ID)
-		}
-	}
-	place := e.p.cfg.Quarantine.Place(now, warm)
+	place := e.placement(now, candidates)
 	isMeant := func(c mpselect.Candidate) bool {
 		if t.isIsolated() {
 			return c.Row.ID == place.Upstream(t.feature)
@@ -84,8 +88,24 @@
 		return !place.Spares(c.Row.ID)
 	}
 	meant := slices.DeleteFunc(slices.Clone(candidates), func(c mpselect.Candidate) bool { return !isMeant(c) })
+	if t.isIsolated() {
+		e.settleAssignment(mpassign.Unused)
+	} else if row, ok := e.pickAssigned(now, meant); ok {
+		return row, true
+	}
 	if row, ok := e.p.cfg.Selector.Pick(now, meant, e.pickInfo); ok || t.isIsolated() {
 		return row, ok
 	}
 	return e.p.cfg.Selector.Pick(now, candidates, e.pickInfo)
 }
+
+// placement returns which upstreams are spared for trials. Those in their cold start are not.
+func (e *exchange) placement(now time.Time, candidates []mpselect.Candidate) mpquarantine.Placement {
+	var warm []string
+	for _, c := range candidates {
+		if !now.Before(c.ColdUntil) {
+			warm = append(warm, c.Row.ID)
+		}
+	}
+	return e.p.cfg.Quarantine.Place(now, warm)
+}
