mprollout: Keep what arrives in slices of time

Callers record failures without the upstream and the time, which the ledger does not need: it tells losses that come together by the slice in which they arrive. The ledger keeps the increments of all VMs by time, version and route, for the judge to compare versions beside each other.

--- a/core/version/mprollout/counts.go
+++ b/core/version/mprollout/counts.go
@@ -41,8 +41,7 @@
 	// Answers counts the attempts with an outcome, Failures those that failed.
 	Answers  uint32 `msgpack:"answers"`
 	Failures uint32 `msgpack:"failures"`
-	// Lost counts those of the failures that followed another one from the same cause: a crashed
-	// upstream loses all its attempts at once.
+	// Lost counts those of the failures whose connection was lost.
 	Lost uint32 `msgpack:"lost"`
 	// Latency holds the attempts that succeeded on warm upstreams.
 	Latency Histogram `msgpack:"latency"`
@@ -62,11 +61,11 @@
 	Cold bool
 }
 
-// Failed is the outcome of an attempt whose response was lost, invalid, or a 5xx of a request that ran.
+// Failed is the outcome of an attempt whose response was lost, invalid, or a 5xx of a request that ran. An
+// attempt that could not be sent, such as one whose connection was refused, has no outcome.
 type Failed struct {
-	Upstream string
-	// Lost is set if the connection was lost. Of several attempts that one upstream
-	// loses together, one counts as evidence.
+	// Lost is set if the connection was lost. A crash loses all attempts of an upstream at once, so
+	// losses that come together count less as evidence than other failures.
 	Lost bool
 	// Answered is set if the attempt is a stream that has been recorded as Answered before.
 	Answered bool
@@ -75,9 +74,6 @@
 func (Answered) outcome() {}
 func (Failed) outcome()   {}
 
-// lossInterval is the time within which further losses of an upstream count as part of the first.
-const lossInterval = 500 * time.Millisecond
-
 type recordKey struct{ version, route string }
 
 // Recorder counts the outcomes of the attempts of one VM for one roll-out. It is not safe for
@@ -88,7 +84,6 @@
 	serial   uint64
 	changed  bool
 	rows     map[recordKey]*Counts
-	lostAt   map[string]time.Time
 }
 
 // NewRecorder returns a recorder for the running roll-out r. It is changed, so that the first
@@ -96,7 +91,7 @@
 func NewRecorder(r Rollout) *Recorder {
 	return &Recorder{
 		id: r.ID, pool: r.Pool, phase: r.Phase, changed: true,
-		rows: map[recordKey]*Counts{}, lostAt: map[string]time.Time{},
+		rows: map[recordKey]*Counts{},
 	}
 }
 
@@ -130,7 +125,7 @@
 
 // Record counts the outcome of an attempt. Attempts that were rejected without having run, and those
 // whose caller disconnected, are not recorded.
-func (c *Recorder) Record(now time.Time, version, route string, o Outcome) {
+func (c *Recorder) Record(version, route string, o Outcome) {
 	row := c.row(version, route)
 	switch o := o.(type) {
 	case Answered:
@@ -144,11 +139,7 @@
 		}
 		row.Failures++
 		if o.Lost {
-			if at, ok := c.lostAt[o.Upstream]; ok && now.Sub(at) < lossInterval {
-				row.Lost++
-			} else {
-				c.lostAt[o.Upstream] = now
-			}
+			row.Lost++
 		}
 	}
 }
--- a/core/version/mprollout/ledger.go
+++ b/core/version/mprollout/ledger.go
@@ -6,20 +6,75 @@
 	"time"
 )
 
-type ledgerKey struct {
+const (
+	// sliceWidth is the report interval of the VMs, so that a slice holds about one report of each.
+	sliceWidth = 400 * time.Millisecond
+	// maxSlices bounds the memory of a roll-out. When it is reached the width of the slices doubles.
+	maxSlices = 64
+	// maxRoutes bounds the routes that are judged apart. Further ones are pooled.
+	maxRoutes = 32
+	// otherRoutes is the name that routes beyond maxRoutes are pooled under.
+	otherRoutes = "*"
+)
+
+// cell is what became known during a slice of one version and route.
+type cell struct {
+	version, route          string
+	answers, failures, lost int
+	latency                 [Buckets]int
+}
+
+func (c *cell) add(o *cell) {
+	c.answers += o.answers
+	c.failures += o.failures
+	c.lost += o.lost
+	for i, n := range o.latency {
+		c.latency[i] += n
+	}
+}
+
+// slice holds what arrived from start on.
+type slice struct {
+	start time.Time
+	cells []cell
+}
+
+func (s *slice) cell(version, route string) *cell {
+	for i := range s.cells {
+		if s.cells[i].version == version && s.cells[i].route == route {
+			return &s.cells[i]
+		}
+	}
+	s.cells = append(s.cells, cell{version: version, route: route})
+	return &s.cells[len(s.cells)-1]
+}
+
+type rowKey struct {
 	vm, version, route string
 	boot               uint64
 }
 
+type reportKey struct {
+	vm   string
+	boot uint64
+}
+
+// vmReport is the newest report of a VM's process. It is replaced, never changed.
 type vmReport struct {
-	boot   uint64
-	phase  Phase
-	serial uint64
+	boot    uint64
+	serial  uint64
+	phase   Phase
+	running map[string]int
 }
 
+// book holds what is known of one roll-out.
 type book struct {
-	rows    map[ledgerKey]Counts
+	rows    map[rowKey]Counts
+	serials map[reportKey]uint64
 	reports map[string]vmReport
+	routes  map[string]bool
+	width   time.Duration
+	slices  []*slice
 }
 
 // Ledger holds the counts that VMs have reported. It is not safe for concurrent use.
@@ -33,20 +88,92 @@
 // Merge takes a report of the process of vm with the given boot, which arrived at now. Lost, repeated and
 // reordered reports do no harm.
 func (l *Ledger) Merge(now time.Time, vm string, boot uint64, rows []Counts) {
+	byID := map[string][]Counts{}
 	for _, c := range rows {
-		b, ok := l.books[c.ID]
+		byID[c.ID] = append(byID[c.ID], c)
+	}
+	for id, rows := range byID {
+		b, ok := l.books[id]
 		if !ok {
-			b = &book{rows: map[ledgerKey]Counts{}, reports: map[string]vmReport{}}
-			l.books[c.ID] = b
+			b = newBook()
+			l.books[id] = b
+		}
+		b.merge(now, reportKey{vm: vm, boot: boot}, rows)
+	}
+}
+
+func newBook() *book {
+	return &book{
+		rows: map[rowKey]Counts{}, serials: map[reportKey]uint64{}, reports: map[string]vmReport{},
+		routes: map[string]bool{}, width: sliceWidth,
+	}
+}
+
+func (b *book) merge(now time.Time, from reportKey, rows []Counts) {
+	serial := rows[0].Serial
+	if last, ok := b.serials[from]; ok && serial <= last {
+		return
+	}
+	b.serials[from] = serial
+	report := vmReport{boot: from.boot, serial: serial, phase: rows[0].Phase, running: map[string]int{}}
+	s := b.current(now)
+	for i := range rows {
+		c := &rows[i]
+		if c.Version == "" {
+			continue
 		}
-		if last := b.reports[vm]; last.boot != boot || last.serial < c.Serial {
-			b.reports[vm] = vmReport{boot: boot, phase: c.Phase, serial: c.Serial}
+		report.running[c.Version] += int(c.Running)
+		key := rowKey{vm: from.vm, boot: from.boot, version: c.Version, route: c.Route}
+		old := b.rows[key]
+		// Counts that shrink within one process are not cumulative and would turn the sums negative.
+		if c.Answers < old.Answers || c.Failures < old.Failures || c.Lost < old.Lost || c.Answers == old.Answers && c.Failures == old.Failures {
+			continue
+		}
+		b.rows[key] = *c
+		added := s.cell(c.Version, b.route(c.Route))
+		added.answers += int(c.Answers - old.Answers)
+		added.failures += int(c.Failures - old.Failures)
+		added.lost += int(c.Lost - old.Lost)
+		for j, n := range c.Latency {
+			added.latency[j] += max(int(n)-int(old.Latency[j]), 0)
 		}
-		key := ledgerKey{vm: vm, boot: boot, version: c.Version, route: c.Route}
-		if old, ok := b.rows[key]; !ok || old.Serial < c.Serial {
-			b.rows[key] = c
+	}
+	b.reports[from.vm] = report
+}
+
+func (b *book) route(name string) string {
+	if !b.routes[name] && len(b.routes) >= maxRoutes {
+		return otherRoutes
+	}
+	b.routes[name] = true
+	return name
+}
+
+// current returns the slice for what arrives at now.
+func (b *book) current(now time.Time) *slice {
+	n := len(b.slices)
+	if n > 0 && now.Sub(b.slices[n-1].start) < b.width {
+		return b.slices[n-1]
+	}
+	if n == maxSlices {
+		b.width *= 2
+		var merged []*slice
+		for i := 0; i < n; i += 2 {
+			s := &slice{start: b.slices[i].start}
+			for _, old := range b.slices[i:min(i+2, n)] {
+				for j := range old.cells {
+					c := &old.cells[j]
+					s.cell(c.version, c.route).add(c)
+				}
+			}
+			merged = append(merged, s)
 		}
+		b.slices = merged
+		return b.current(now)
 	}
+	s := &slice{start: now}
+	b.slices = append(b.slices, s)
+	return s
 }
 
 // Forget drops all roll-outs for whose ID keep returns false.
@@ -58,14 +185,20 @@
 func (l *Ledger) Evidence(now time.Time, id string) Evidence {
 	b, ok := l.books[id]
 	if !ok {
-		return Evidence{}
+		return Evidence{at: now}
+	}
+	e := Evidence{at: now, slices: slices.Clone(b.slices), reports: maps.Clone(b.reports)}
+	// Only the newest slice still changes.
+	if n := len(e.slices); n > 0 {
+		e.slices[n-1] = &slice{start: e.slices[n-1].start, cells: slices.Clone(e.slices[n-1].cells)}
 	}
-	return Evidence{rows: maps.Clone(b.rows), reports: maps.Clone(b.reports)}
+	return e
 }
 
 // Evidence is an immutable snapshot of the ledger for one roll-out. The zero value holds none.
 type Evidence struct {
-	rows    map[ledgerKey]Counts
+	at      time.Time
+	slices  []*slice
 	reports map[string]vmReport
 }
 
@@ -79,20 +212,40 @@
 // Total returns the sum over all VMs and routes. Attempts of VMs that are not in vms, and of earlier
 // processes of a VM, are no longer running.
 func (e Evidence) Total(vms []string, versions ...string) Total {
+	return e.total(vms, func(version string) bool { return slices.Contains(versions, version) })
+}
+
+// others returns the sum of all versions but the target, also of those that were listed after the order.
+func (e Evidence) others(vms []string, r Rollout) Total {
+	return e.total(vms, func(version string) bool { return version != r.Target })
+}
+
+func (e Evidence) total(vms []string, match func(version string) bool) Total {
 	var t Total
-	for key, c := range e.rows {
-		if !slices.Contains(versions, key.version) {
-			continue
+	for _, s := range e.slices {
+		for i := range s.cells {
+			if c := &s.cells[i]; match(c.version) {
+				t.Answers += c.answers
+				t.Failures += c.failures
+			}
 		}
-		t.Answers += int(c.Answers)
-		t.Failures += int(c.Failures)
-		if e.reports[key.vm].boot == key.boot && slices.Contains(vms, key.vm) {
-			t.Running += int(c.Running)
+	}
+	for _, vm := range vms {
+		for version, n := range e.reports[vm].running {
+			if match(version) {
+				t.Running += n
+			}
 		}
 	}
 	return t
 }
 
+// Rate returns the answers a second of all versions since the order.
+func (e Evidence) Rate(r Rollout) float64 {
+	t := e.total(nil, func(string) bool { return true })
+	return float64(t.Answers) / max(e.at.Sub(r.Started()).Seconds(), 1)
+}
+
 // Reported returns how many of vms have reported that they act on the phase p.
 func (e Evidence) Reported(p Phase, vms []string) int {
 	n := 0
