mpview, mpstate: Replicate the roll-outs of pools

The op Roll (wire key roll) sets the latest roll-out of a pool. Voters and VMs apply it by mprollout.Advance, so that a late or backwards step changes nothing and its proposer gets a conflict.

Those of earlier builds load as before.

--- a/core/version/mpstate/command.go
+++ b/core/version/mpstate/command.go
@@ -165,7 +165,8 @@
 	CodeInvalid Code = "invalid"
 	// CodeNotFound means that the command refers to something that does not exist.
 	CodeNotFound Code = "unfound"
-	// CodeConflict means that a row was changed after Base.
+	// CodeConflict means that a row was changed after Base, or that the row does not allow
+	// the change.
 	CodeConflict Code = "conflict"
 	// CodeRunning means that the claim is held and its request is still running.
 	CodeRunning Code = "running"
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -149,6 +149,8 @@
 	switch {
 	case errors.Is(err, mperror.ErrNotFound):
 		return Result{Code: CodeNotFound, Text: err.Error()}
+	case errors.Is(err, mperror.ErrConflict):
+		return Result{Code: CodeConflict, Text: err.Error(), Revision: m.view.Revision()}
 	case err != nil:
 		return Result{Code: CodeInvalid, Text: err.Error()}
 	}
--- a/core/version/mpstate/machine_test.go
+++ b/core/version/mpstate/machine_test.go
@@ -156,6 +156,7 @@
 		"a VM that is about to stop": {[]mpview.Op{leaving}, 0},
 		"a plan":                     {[]mpview.Op{join("vm2"), publish}, 0},
 		"a plan before a join":       {[]mpview.Op{publish, join("vm2")}, 0},
+		"a roll-out":                 {[]mpview.Op{join("vm2"), mpview.Roll{Rollout: newTestRollout("a")}}, 0},
 		"a mark":                     {[]mpview.Op{mpview.Mark{Target: mpview.TargetVM, Name: "vm1", Out: true}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/version/mpview/op.go
+++ b/core/version/mpview/op.go
@@ -6,6 +6,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mprollout"
 )
 
 // Op is an operation that changes a View.
@@ -79,6 +80,12 @@
 	Routing Routing `json:"routing"`
 }
 
+// Roll sets the roll-out of a pool. It is refused unless mprollout.Advance accepts the
+// step from the pool's present roll-out.
+type Roll struct {
+	Rollout mprollout.Rollout `json:"rollout"`
+}
+
 func (Edit) op()         {}
 func (Mark) op()         {}
 func (Join) op()         {}
@@ -88,6 +95,7 @@
 func (ClearStrikes) op() {}
 func (Note) op()         {}
 func (Publish) op()      {}
+func (Roll) op()         {}
 
 type wireOp struct {
 	Edit    *Edit         `json:"edit,omitempty"`
@@ -99,6 +107,7 @@
 	Clear   *ClearStrikes `json:"clear,omitempty"`
 	Note    *Note         `json:"note,omitempty"`
 	Publish *Publish      `json:"publish,omitempty"`
+	Roll    *Roll         `json:"roll,omitempty"`
 }
 
 // Change is the step from one revision to the next.
@@ -136,6 +145,8 @@
 		w.Note = &op
 	case Publish:
 		w.Publish = &op
+	case Roll:
+		w.Roll = &op
 	default:
 		return nil, fmt.Errorf("mpview: cannot encode op %T", c.Op)
 	}
@@ -168,6 +179,8 @@
 		c.Op = *w.Note
 	case w.Publish != nil:
 		c.Op = *w.Publish
+	case w.Roll != nil:
+		c.Op = *w.Roll
 	default:
 		return mperror.Wrap(mperror.ErrInvalid, "change without a known op")
 	}
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -1,8 +1,8 @@
 // Package mpview holds the state that is replicated to every VM: the catalogue,
 // what is out of service, which VMs are up, which VM owns which group, the
-// routing plan, and strikes against requests that crash upstreams. A View is
-// immutable. Each change increments the revision by one, and voters and all
-// other VMs apply changes with the same code.
+// routing plan, the roll-outs of pools to other versions, and strikes against
+// requests that crash upstreams. A View is immutable. Each change increments the
+// revision by one, and voters and all other VMs apply changes with the same code.
 package mpview
 
 import (
@@ -12,6 +12,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/version/mpcatalogue"
+	"mustardpost.org/core/version/mprollout"
 )
 
 // maxChangeRecords bounds the number of rows whose last change is kept.
@@ -70,6 +71,8 @@
 	owners       map[string]Ownership
 	strikes      map[uint64]StrikeCount
 	routing      Routing
+	// rollouts has the latest roll-out of each pool that had one.
+	rollouts map[string]mprollout.Rollout
 }
 
 // Empty returns an empty view at revision 0.
@@ -125,6 +128,21 @@
 // map.
 func (v *View) AllStrikes() map[uint64]StrikeCount { return v.strikes }
 
+// Rollout returns the latest roll-out of pool, which may have ended.
+func (v *View) Rollout(pool string) (mprollout.Rollout, bool) {
+	r, ok := v.rollouts[pool]
+	return r, ok
+}
+
+// Rollouts returns the latest roll-out of each pool that had one, sorted by pool.
+func (v *View) Rollouts() []mprollout.Rollout {
+	out := make([]mprollout.Rollout, 0, len(v.rollouts))
+	for _, pool := range slices.Sorted(maps.Keys(v.rollouts)) {
+		out = append(out, v.rollouts[pool])
+	}
+	return out
+}
+
 // Serves reports whether callers may be directed to vm.
 func (v *View) Serves(vm VM) bool {
 	return !vm.Leaving && !v.IsOut(TargetVM, vm.Name) && !v.IsOut(TargetDC, vm.DC)
@@ -214,6 +232,8 @@
 		if op.Routing.Version > v.routing.Version {
 			next.routing = op.Routing
 		}
+	case Roll:
+		err = next.roll(op.Rollout)
 	case Note:
 	default:
 		err = mperror.Wrap(mperror.ErrInvalid, "unknown op %T", op)
@@ -318,6 +338,15 @@
 	}
 }
 
+func (v *View) roll(r mprollout.Rollout) error {
+	if err := mprollout.Advance(v.rollouts[r.Pool], r); err != nil {
+		return err
+	}
+	v.rollouts = cloneMap(v.rollouts)
+	v.rollouts[r.Pool] = r
+	return nil
+}
+
 type wireView struct {
 	Revision     uint64                 `json:"revision"`
 	Catalogue    mpcatalogue.Document   `json:"catalogue"`
@@ -328,6 +357,8 @@
 	Owners       map[string]Ownership   `json:"owners"`
 	Strikes      map[uint64]StrikeCount `json:"strikes"`
 	Routing      *Routing               `json:"routing,omitempty"`
+	// Rollouts is absent from the views of earlier builds.
+	Rollouts map[string]mprollout.Rollout `json:"rollouts,omitempty"`
 }
 
 // MarshalJSON encodes the complete view.
@@ -346,6 +377,7 @@
 		VMs:          v.vms,
 		Owners:       v.owners,
 		Strikes:      v.strikes,
+		Rollouts:     v.rollouts,
 	})
 }
 
@@ -364,6 +396,7 @@
 		vms:          w.VMs,
 		owners:       w.Owners,
 		strikes:      w.Strikes,
+		rollouts:     w.Rollouts,
 	}
 	if w.Routing != nil {
 		v.routing = *w.Routing
--- a/core/version/mpview/view_test.go
+++ b/core/version/mpview/view_test.go
@@ -42,7 +42,7 @@
 }
 
 func TestEncoding(t *testing.T) {
-	v := apply(t, newTestView(t), PlanAssignments(newTestView(t)), Mark{TargetDC, "south", true}, Strike{[]uint64{7}, 99})
+	v := apply(t, newTestView(t), PlanAssignments(newTestView(t)), Mark{TargetDC, "south", true}, Strike{[]uint64{7}, 99}, Roll{newRollout("id", 0)})
 	data, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +61,7 @@
 	ops := []Op{
 		Edit{mpcatalogue.Edit{Drop: mpcatalogue.Names{Pools: []string{"p"}}}}, Mark{TargetVM, "n1", true},
 		Join{VM{Name: "x"}}, Leave{[]string{"n1"}}, Assign{map[string]string{"g": "n1"}},
-		Strike{[]uint64{1}, 2}, ClearStrikes{[]uint64{1}}, Note{"overload", "text"},
+		Strike{[]uint64{1}, 2}, ClearStrikes{[]uint64{1}}, Note{"overload", "text"}, Roll{newRollout("id", 0)},
 	}
 	for _, op := range ops {
 		t.Run(fmt.Sprintf("%T", op), func(t *testing.T) {
--- a/mustardpost/commands/status.go
+++ b/mustardpost/commands/status.go
@@ -10,6 +10,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
 )
@@ -93,12 +94,32 @@
 		return fmt.Sprintf("strike against %d requests", len(op.Fingerprints))
 	case mpview.ClearStrikes:
 		return fmt.Sprintf("strikes cleared of %d requests", len(op.Fingerprints))
+	case mpview.Roll:
+		return describeRollout(op.Rollout)
 	case mpview.Note:
 		return op.Kind + ": " + op.Text
 	}
 	return "unknown"
 }
 
+// describeRollout says what a step of a roll-out did, and why.
+func describeRollout(r mprollout.Rollout) string {
+	text := fmt.Sprintf("roll-out of %s to %s", r.Pool, r.Target)
+	switch {
+	case !r.Running():
+		text += " " + string(r.State)
+	case r.Phase == mprollout.PhaseShift:
+		text += " shifted"
+	default:
+		text += fmt.Sprintf(" on trial with a share of %v", r.Share)
+	}
+	text += ", ordered by " + r.Who
+	if r.Reason != "" {
+		text += ": " + r.Reason
+	}
+	return text
+}
+
 const maxShownKeys = 4
 
 func describeKeys(keys []string) string {
