mpstate: Decide on orders of roll-outs in the replicated state

An order whose acknowledgement was lost is sent again, to any VM. Whether it starts a roll-out or repeats one is decided when the command RolloutOrder is applied, by the leader's time in it: the order of a running roll-out, and one that was accepted less than the acknowledgement time and a second ago, also if that roll-out has ended or another one has followed it. The proposer chooses the ID, the leader adds the listed versions.

A version that was reverted or replaced is no old version of the next roll-out although its upstreams may still be listed, unless no other version is: it would serve again.

Read with a pool returns its latest roll-out, ordered after every acknowledged change.

go test -race passes for mpstate, with a table of the codes and a random run. The latter failed before orders were recorded: two orders that take turns within the acknowledgement time started a roll-out each time.

--- a/core/common/mperror/mperror.go
+++ b/core/common/mperror/mperror.go
@@ -41,6 +41,11 @@
 	// ErrTooFewVoters marks a proposal made before enough voters have joined the
 	// deployment.
 	ErrTooFewVoters = state.New("too few voters have joined")
+	// ErrNoPlan marks an operation on a pool while no plan is published.
+	ErrNoPlan = state.New("no plan is published")
+	// ErrNoList marks an operation that needs the platform's list of upstreams, which the
+	// leader has not read yet.
+	ErrNoList = state.New("list of upstreams is not known yet")
 	// ErrOutcomeUnknown marks an operation that may or may not have taken effect.
 	ErrOutcomeUnknown = state.New("outcome unknown")
 	// ErrNotInForce marks a change that was accepted but is not yet in force on every VM.
--- a/core/version/mpstate/command.go
+++ b/core/version/mpstate/command.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -74,10 +75,12 @@
 	Hash   string `json:"hash"`
 }
 
-// Read returns the published plan. As a log entry it is ordered after every
-// change that was acknowledged before it was proposed, so the read is
-// linearizable without relying on the members' clocks.
-type Read struct{}
+// Read returns the published plan, or the latest roll-out of Pool if that is set. As a
+// log entry it is ordered after every change that was acknowledged before it was proposed,
+// so the read is linearizable without relying on the members' clocks.
+type Read struct {
+	Pool string `json:"pool,omitempty"`
+}
 
 func (Change) command()      {}
 func (Read) command()        {}
@@ -98,6 +101,7 @@
 	Read            *Read            `json:"read,omitempty"`
 	Order           *Order           `json:"order,omitempty"`
 	OrderCompletion *OrderCompletion `json:"carried,omitempty"`
+	RolloutOrder    *RolloutOrder    `json:"rollout,omitempty"`
 }
 
 // Encode encodes c as a log entry with the timestamp at, in ms since the Unix
@@ -121,6 +125,8 @@
 		w.Order = &c
 	case OrderCompletion:
 		w.OrderCompletion = &c
+	case RolloutOrder:
+		w.RolloutOrder = &c
 	default:
 		return nil, mperror.Wrap(mperror.ErrInvalid, "unknown command %T", c)
 	}
@@ -150,6 +156,8 @@
 		return w.At, *w.Order, nil
 	case w.OrderCompletion != nil:
 		return w.At, *w.OrderCompletion, nil
+	case w.RolloutOrder != nil:
+		return w.At, *w.RolloutOrder, nil
 	}
 	return 0, nil, mperror.Wrap(mperror.ErrInvalid, "command of unknown kind")
 }
@@ -181,6 +189,9 @@
 	CodeExpired Code = "expired"
 	// CodeFull means that the claim table is full.
 	CodeFull Code = "full"
+	// CodeUnlisted means that the order of a roll-out names no versions, since the leader had
+	// not read the platform's list. It has not taken effect.
+	CodeUnlisted Code = "unlisted"
 )
 
 // Result is the result of applying a command.
@@ -192,6 +203,9 @@
 	Answer   *Answer `json:"answer,omitempty"`
 	// Routing is the plan returned by a Read; nil if none is published.
 	Routing *mpview.Routing `json:"routing,omitempty"`
+	// Rollout is the roll-out returned by a Read of a pool, or the one that a RolloutOrder
+	// started or repeats.
+	Rollout *mprollout.Rollout `json:"rollout,omitempty"`
 }
 
 // DecodeResult decodes the output of Machine.Apply.
@@ -203,8 +217,8 @@
 	return r, nil
 }
 
-// Err returns an error that wraps the sentinel for the code of a failed change.
-// It returns nil for all other codes.
+// Err returns an error that wraps the sentinel for the code of a failed change, order of a
+// roll-out or read. It returns nil for all other codes.
 func (r Result) Err() error {
 	switch r.Code {
 	case CodeInvalid:
@@ -213,6 +227,8 @@
 		return mperror.Wrap(mperror.ErrNotFound, "%s", r.Text)
 	case CodeConflict:
 		return mperror.Wrap(mperror.ErrConflict, "%s", r.Text)
+	case CodeUnlisted:
+		return mperror.ErrNoList
 	}
 	return nil
 }
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -54,6 +54,8 @@
 	resultByID map[string]Result
 	claims     claims
 	orders     orders
+	// accepted holds the orders of roll-outs that may be repeated.
+	accepted []acceptedOrder
 	// encodedView is the encoded view at revision encodedRevision.
 	encodedView     []byte
 	encodedRevision uint64
@@ -100,7 +102,7 @@
 	case Change:
 		return m.applyChange(c)
 	case Read:
-		return m.applyRead()
+		return m.applyRead(c)
 	case Claim:
 		return m.claims.acquire(m.clockMs, c)
 	case Finish:
@@ -113,12 +115,22 @@
 		return m.applyOrder(c)
 	case OrderCompletion:
 		return m.orders.complete(c)
+	case RolloutOrder:
+		return m.applyRolloutOrder(c)
 	}
 	return Result{Code: CodeInvalid}
 }
 
-func (m *Machine) applyRead() Result {
+func (m *Machine) applyRead(c Read) Result {
 	r := Result{Code: CodeDone, Revision: m.view.Revision()}
+	if c.Pool != "" {
+		rollout, ok := m.view.Rollout(c.Pool)
+		if !ok {
+			return Result{Code: CodeNotFound, Text: "roll-out of " + c.Pool}
+		}
+		r.Rollout = &rollout
+		return r
+	}
 	if routing := m.view.Routing(); routing.Version > 0 {
 		r.Routing = &routing
 	}
@@ -333,6 +345,7 @@
 	SweptMinute int64            `json:"swept"`
 	ClockMs     int64            `json:"clock"`
 	Orders      orders           `json:"orders"`
+	Accepted    []acceptedOrder  `json:"accepted,omitempty"`
 }
 
 // Snapshot captures the complete state and returns a function that encodes it.
@@ -349,6 +362,7 @@
 		SweptMinute: m.claims.sweptMinute,
 		ClockMs:     m.clockMs,
 		Orders:      orders{Last: maps.Clone(m.orders.Last), Fence: m.orders.Fence},
+		Accepted:    m.accepted,
 	}
 	for _, c := range m.claims.rows {
 		w.Claims = append(w.Claims, *c)
@@ -379,7 +393,7 @@
 		m.claims.add(&w.Claims[i])
 	}
 	m.clockMs = w.ClockMs
-	m.orders = w.Orders
+	m.orders, m.accepted = w.Orders, w.Accepted
 	m.encodedView, m.urgentRevision = nil, w.View.Revision()
 	close(m.changed)
 	close(m.urgentChanged)
