mplead, mpconsensus: Order, judge and end roll-outs at the leader

A new leader begins without counts and decides nothing for a report interval and the hold of a renewal, in which all VMs can find it. Nothing runs unless roll-outs are enabled, and the periodic task reads only the view while none runs.

--- a/core/process/mpconsensus/mpconsensus.go
+++ b/core/process/mpconsensus/mpconsensus.go
@@ -15,9 +15,11 @@
 	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/process/mpdisk"
 	"mustardpost.org/core/process/mplead"
+	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/process/mpreplica"
 	"mustardpost.org/core/process/mpvoter"
+	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mpstate"
 )
 
@@ -38,6 +40,10 @@
 	Platform *mpplatform.Client
 	// Upstreams reads the platform's list of upstreams; nil if there is none.
 	Upstreams mplead.UpstreamLister
+	// Rollouts bounds what a bad version may cost. The zero value turns roll-outs off.
+	Rollouts mprollout.Settings
+	// Metrics receives the counts of roll-outs; nil drops them.
+	Metrics *mpmetric.Set
 }
 
 // Voter is this process's member of the replicated log, with the state it holds.
@@ -107,6 +113,8 @@
 		MinVoters:     cfg.MinVoters,
 		Platform:      cfg.Platform,
 		Upstreams:     cfg.Upstreams,
+		Rollouts:      cfg.Rollouts,
+		Metrics:       cfg.Metrics,
 	})
 	leader.Store(v.leader)
 	go func() {
--- a/core/process/mpconsensus/service.go
+++ b/core/process/mpconsensus/service.go
@@ -89,6 +89,15 @@
 	return v.leader.Renew(ctx, r)
 }
 
+// Report takes over what a VM has counted of the roll-outs that run.
+func (s *Service) Report(_ context.Context, r *mpwire.ReportRequest) (*mpwire.ReportReply, error) {
+	v := s.voter.Load()
+	if v == nil {
+		return nil, errNotVoter
+	}
+	return v.leader.Report(time.Now(), r), nil
+}
+
 // Propose commits one command.
 func (s *Service) Propose(ctx context.Context, r *mpwire.ProposeRequest) (*mpwire.ProposeReply, error) {
 	v := s.voter.Load()
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -18,10 +18,12 @@
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mpplatform"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpquorum"
 	"mustardpost.org/core/process/mpreplica"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
 )
@@ -69,6 +71,10 @@
 	Platform *mpplatform.Client
 	// Upstreams reads the platform's list of upstreams; nil if there is none.
 	Upstreams UpstreamLister
+	// Rollouts bounds what a bad version may cost. The zero value turns roll-outs off.
+	Rollouts mprollout.Settings
+	// Metrics receives the counts of roll-outs; nil drops them.
+	Metrics *mpmetric.Set
 }
 
 // UpstreamLister reads the platform's list of upstreams.
@@ -99,10 +105,15 @@
 	// skippedMachines is the number of entries of the platform's list of machines that could not
 	// be used at its last read. Only syncPlatformMachines uses it.
 	skippedMachines int
+	// ledger has what VMs have counted of roll-outs since this voter began to lead.
+	ledger *mprollout.Ledger
 }
 
 // New returns the Leader of one voter.
 func New(cfg Config) *Leader {
+	if cfg.Metrics == nil {
+		cfg.Metrics = mpmetric.New()
+	}
 	l := &Leader{cfg: cfg, limits: mpquota.NewLimits(), upstreamListChanged: make(chan struct{}), limitsChanged: make(chan struct{})}
 	l.OnLeadershipChange(time.Now(), false)
 	return l
@@ -115,11 +126,13 @@
 	return max(duration/driftMarginDivisor, minDriftMargin)
 }
 
-// OnLeadershipChange clears the lease table when this voter starts or stops leading.
+// OnLeadershipChange clears the lease table and the counts of roll-outs when this voter
+// starts or stops leading.
 func (l *Leader) OnLeadershipChange(now time.Time, _ bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leadershipChangedAt = now
+	l.ledger = mprollout.NewLedger()
 	l.leaseTracker = mplease.NewTracker(mplease.Config{
 		Duration:    l.cfg.LeaseDuration,
 		DriftMargin: DriftMargin(l.cfg.LeaseDuration),
@@ -247,11 +260,15 @@
 // hold returns how long a renewal is held at most.
 func (l *Leader) hold(r *mpwire.RenewRequest) time.Duration {
 	if r.GetHolds() {
-		return min(time.Duration(maxHoldShare*float64(l.cfg.LeaseDuration)), mplease.MaxHold)
+		return l.maxHold()
 	}
 	return l.cfg.LeaseDuration / renewHoldDivisor
 }
 
+func (l *Leader) maxHold() time.Duration {
+	return min(time.Duration(maxHoldShare*float64(l.cfg.LeaseDuration)), mplease.MaxHold)
+}
+
 // waitForUpdate waits until the VM lacks a revision, the current list of upstreams or a limit,
 // for as long as its renewal may be held. Changes that are not urgent are collected for a while. A VM
 // that regains its lease is answered at once.
@@ -299,6 +316,13 @@
 // Propose commits c and returns its result. ErrNotLeader means that c has not taken
 // effect and never will; ErrOutcomeUnknown means that it may have taken effect.
 func (l *Leader) Propose(ctx context.Context, c mpstate.Command) (mpstate.Result, error) {
+	if o, ok := c.(mpstate.RolloutOrder); ok {
+		return l.orderRollout(ctx, o)
+	}
+	return l.commit(ctx, c)
+}
+
+func (l *Leader) commit(ctx context.Context, c mpstate.Command) (mpstate.Result, error) {
 	if !l.hasMinVoters() {
 		return mpstate.Result{}, mperror.ErrTooFewVoters
 	}
@@ -357,6 +381,9 @@
 	if l.cfg.Upstreams != nil {
 		go mptime.Every(ctx, taskInterval, func(now time.Time) { l.refreshUpstreamList(ctx, now) })
 	}
+	if l.cfg.Rollouts.Enabled() {
+		go mptime.Every(ctx, rolloutInterval, func(now time.Time) { l.stepRollouts(ctx, now) })
+	}
 	mptime.Every(ctx, taskInterval, func(now time.Time) {
 		if !l.IsLeader() || !l.hasMinVoters() {
 			return
