--- a/core/process/mpgateway/metrics.go
+++ b/core/process/mpgateway/metrics.go
@@ -30,6 +30,9 @@
 	g.metrics.Gauge("quarantine.convicted", func() any { return g.quarantine.Count(mpquarantine.Convicted, mpquarantine.Convicted) })
 	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
 	g.metrics.Gauge("origins", func() any { return g.origins.ledger.Count() })
+	if g.cfg.Rollouts.Enabled() {
+		g.metrics.Gauge("rollout.running", func() any { return g.runningRollouts() })
+	}
 	g.metrics.Gauge("relay.tunnels", func() any { return g.cfg.Relay.Tunnels() })
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
 }
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -37,6 +37,7 @@
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
@@ -87,6 +88,9 @@
 	// SnapshotThreshold is the size of the log file, in bytes, that triggers a snapshot.
 	SnapshotThreshold int
 	RetryBudget       RetryBudget
+	// Rollouts holds the bounds of version roll-outs. The VM does not act on versions unless they
+	// are enabled.
+	Rollouts mprollout.Settings
 
 	Dialect     mpproxy.Dialect
 	BatchClient mpstage.BatchClient
@@ -101,13 +105,20 @@
 	Logger  log.Logger
 }
 
+// proposer commits commands.
+type proposer interface {
+	Propose(ctx context.Context, c mpstate.Command, inForceWait time.Duration) (mpproposer.Reply, error)
+}
+
+var _ proposer = (*mpproposer.Proposer)(nil)
+
 // Gateway is the process of one VM.
 type Gateway struct {
 	cfg          Config
 	metrics      *mpmetric.Set
 	client       *mppeer.Client
 	member       *mpmember.Member
-	proposer     *mpproposer.Proposer
+	proposer     proposer
 	selector     *mpselect.Selector
 	voterService *mpconsensus.Service
 	owner        *mpstage.Owner
@@ -278,6 +289,8 @@
 				LeaseDuration:     g.cfg.LeaseDuration,
 				MinVoters:         g.cfg.MinVoters,
 				Upstreams:         g.cfg.Upstreams,
+				Rollouts:          g.cfg.Rollouts,
+				Metrics:           g.metrics,
 			}, g.voterService.SetVoter)
 		}()
 	}
