mprollout: Judge targets by e-values, and record attempts by a handle

Begin returns an Attempt, on which the caller records the outcome and the end, so that attempts are counted with the phase in which they began and those that wait for an answer count as evidence before they are answered. Counts has the field Waiting for them.

--- a/core/version/mprollout/counts.go
+++ b/core/version/mprollout/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 )
 
@@ -26,17 +27,17 @@
 func (h *Histogram) Add(latency time.Duration) { h[Bucket(latency)]++ }
 
 // Counts holds what one process of a VM has counted of one version and route of a pool since it first
-// acted on a roll-out. Counters only grow, so a later report makes good the loss of an earlier one.
+// acted on a roll-out. Except for Running and Waiting, counts only grow, so a later report makes good the loss of an earlier one.
 type Counts struct {
 	// ID is that of the roll-out.
 	ID   string `msgpack:"id"`
 	Pool string `msgpack:"pool"`
-	// Version and Route are empty in the row that only reports the phase.
+	// Version and Route are empty in the row that only reports the phase of the VM.
 	Version string `msgpack:"version"`
 	Route   string `msgpack:"route"`
 	// Serial grows with each report of the process.
 	Serial uint64 `msgpack:"serial"`
-	// Phase is the phase that the VM acted on when it reported.
+	// Phase is the phase in which the attempts began; in the row without a version that which the VM acts on.
 	Phase Phase `msgpack:"phase"`
 	// Answers counts the attempts with an outcome, Failures those that failed.
 	Answers  uint32 `msgpack:"answers"`
@@ -45,7 +46,10 @@
 	Lost uint32 `msgpack:"lost"`
 	// Latency holds the attempts that succeeded on warm upstreams.
 	Latency Histogram `msgpack:"latency"`
-	// Running is the number of attempts that have not ended; it does not only grow.
+	// Waiting holds the attempts on warm upstreams that have not been answered yet, by the time since they
+	// began. An attempt that takes long is known to be slow before it is answered.
+	Waiting Histogram `msgpack:"waiting"`
+	// Running is the number of attempts that have not ended.
 	Running uint32 `msgpack:"running"`
 }
 
@@ -56,34 +60,35 @@
 type Answered struct {
 	// Latency is the time to the first event of a stream, or to the end of any other response.
 	Latency time.Duration
-	// Cold is set if the upstream was in its cold start, which makes it slow whatever its version. The
-	// latency is then not counted.
-	Cold bool
 }
 
-// Failed is the outcome of an attempt whose response was lost, invalid, or a 5xx of a request that ran. An
-// attempt that could not be sent, such as one whose connection was refused, has no outcome.
+// Failed is the outcome of an attempt whose response was lost, invalid, or a 5xx of a request that ran. A
+// stream may fail after it was recorded as answered. An attempt that could not be sent, such as one whose connection was
+// refused, has no outcome.
 type Failed struct {
 	// Lost is set if the connection was lost. A crash loses all attempts of an upstream at once, so
 	// losses that come together count less as evidence than other failures.
 	Lost bool
-	// Answered is set if the attempt is a stream that has been recorded as Answered before.
-	Answered bool
 }
 
 func (Answered) outcome() {}
 func (Failed) outcome()   {}
 
-type recordKey struct{ version, route string }
-
-// Recorder counts the outcomes of the attempts of one VM for one roll-out. It is not safe for
-// concurrent use.
+// Recorder counts the outcomes of the attempts of one process of a VM for one roll-out. It lives as long
+// as the roll-out or the process, since its counts must not begin again. It is safe for concurrent use.
 type Recorder struct {
 	id, pool string
+	mu       sync.Mutex
 	phase    Phase
 	serial   uint64
 	changed  bool
 	rows     map[recordKey]*Counts
+	waiting  map[*Attempt]struct{}
+}
+
+type recordKey struct {
+	version, route string
+	phase          Phase
 }
 
 // NewRecorder returns a recorder for the running roll-out r. It is changed, so that the first
@@ -91,69 +96,116 @@
 func NewRecorder(r Rollout) *Recorder {
 	return &Recorder{
 		id: r.ID, pool: r.Pool, phase: r.Phase, changed: true,
-		rows: map[recordKey]*Counts{},
+		rows: map[recordKey]*Counts{}, waiting: map[*Attempt]struct{}{},
 	}
 }
 
 // SetPhase records that the VM now acts on the phase p.
 func (c *Recorder) SetPhase(p Phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.phase != p {
 		c.phase, c.changed = p, true
 	}
 }
 
-func (c *Recorder) row(version, route string) *Counts {
-	key := recordKey{version, route}
+// Attempt is an attempt that a Recorder counts. It is safe for concurrent use.
+type Attempt struct {
+	recorder                *Recorder
+	row                     *Counts
+	began                   time.Time
+	cold                    bool
+	answered, failed, ended bool
+}
+
+// Begin counts an attempt that is sent at now. On an upstream in its cold start, which is slow whatever its version,
+// cold is set and the latency is not counted.
+func (c *Recorder) Begin(now time.Time, version, route string, cold bool) *Attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := recordKey{version: version, route: route, phase: c.phase}
 	row, ok := c.rows[key]
 	if !ok {
-		row = &Counts{ID: c.id, Pool: c.pool, Version: version, Route: route}
+		row = &Counts{ID: c.id, Pool: c.pool, Version: version, Route: route, Phase: c.phase}
 		c.rows[key] = row
 	}
+	row.Running++
 	c.changed = true
-	return row
-}
-
-// Begin counts an attempt as running.
-func (c *Recorder) Begin(version, route string) { c.row(version, route).Running++ }
-
-// End counts an attempt as no longer running, once for each Begin.
-func (c *Recorder) End(version, route string) {
-	if row := c.row(version, route); row.Running > 0 {
-		row.Running--
+	a := &Attempt{recorder: c, row: row, began: now, cold: cold}
+	if !cold {
+		c.waiting[a] = struct{}{}
 	}
+	return a
 }
 
-// Record counts the outcome of an attempt. Attempts that were rejected without having run, and those
-// whose caller disconnected, are not recorded.
-func (c *Recorder) Record(version, route string, o Outcome) {
-	row := c.row(version, route)
+// Record counts the outcome of the attempt. Attempts that were rejected without having run, and those
+// whose caller disconnected, have none.
+func (a *Attempt) Record(o Outcome) {
+	c := a.recorder
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch o := o.(type) {
 	case Answered:
-		row.Answers++
-		if !o.Cold {
-			row.Latency.Add(o.Latency)
+		if a.answered || a.failed {
+			return
+		}
+		a.answered = true
+		a.row.Answers++
+		if !a.cold {
+			a.row.Latency.Add(o.Latency)
 		}
 	case Failed:
-		if !o.Answered {
-			row.Answers++
+		if a.failed {
+			return
 		}
-		row.Failures++
+		a.failed = true
+		if !a.answered {
+			a.row.Answers++
+		}
+		a.row.Failures++
 		if o.Lost {
-			row.Lost++
+			a.row.Lost++
 		}
 	}
+	c.changed = true
+	delete(c.waiting, a)
 }
 
-// Changed reports whether anything changed since the last Report.
-func (c *Recorder) Changed() bool { return c.changed }
+// End counts the attempt as no longer running.
+func (a *Attempt) End() {
+	c := a.recorder
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended, c.changed = true, true
+	a.row.Running--
+	delete(c.waiting, a)
+}
 
-// Report returns all rows for the leader, the first of which only reports the phase.
-func (c *Recorder) Report() []Counts {
+// Changed reports whether anything changed since the last Report. Attempts that wait are a change.
+func (c *Recorder) Changed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed || len(c.waiting) > 0
+}
+
+// Report returns all rows for the leader, as of now. The first only reports the phase of the VM.
+func (c *Recorder) Report(now time.Time) []Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.changed = false
 	c.serial++
+	for _, row := range c.rows {
+		row.Waiting = Histogram{}
+	}
+	for a := range c.waiting {
+		a.row.Waiting.Add(now.Sub(a.began))
+	}
 	rows := []Counts{{ID: c.id, Pool: c.pool, Serial: c.serial, Phase: c.phase}}
 	for _, row := range c.rows {
-		row.Serial, row.Phase = c.serial, c.phase
+		row.Serial = c.serial
 		rows = append(rows, *row)
 	}
 	return rows
--- a/core/version/mprollout/judge.go
+++ b/core/version/mprollout/judge.go
@@ -1,11 +1,16 @@
 package mprollout
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
 
 // Verdict is a judgement on the target of a roll-out. The zero value means that it is unknown.
 type Verdict struct {
-	good, bad bool
-	reason    string
+	good, bad, suspect bool
+	reason             string
 }
 
 // Good reports whether the target is judged good.
@@ -14,17 +19,326 @@
 // Bad reports whether the target is judged bad.
 func (v Verdict) Bad() bool { return v.bad }
 
+// Suspect reports whether the evidence points to a bad target without proving it.
+func (v Verdict) Suspect() bool { return v.suspect }
+
 // Reason returns the evidence in words; empty if the verdict is unknown.
 func (v Verdict) Reason() string { return v.reason }
 
-// Judge compares the target with the old versions beside it.
+const (
+	// maxFalseAlarm bounds the probability that a good target is ever judged bad by one of the two tests.
+	maxFalseAlarm = 1.0 / 1000
+	// suspectE is the e-value from which a target is suspect. One failure in the trial beside old versions
+	// without any gives about 2.
+	suspectE = 1.5
+	// unprovenE bounds the e-value of failures in the shift while they may be those of a fault that strikes both
+	// versions.
+	unprovenE = 2 * suspectE
+	// goodAnswers is the number of answers without suspicion after which a target is judged good: one that
+	// fails 5% of its answers would have got through with a probability of 0.95^60 = 0.05.
+	goodAnswers = 60
+	// goodLatencies and goodRoute are the least answers with a latency, and answers of each route that gets
+	// a tenth of the requests or more, of a target that is judged good.
+	goodLatencies = 20
+	goodRoute     = 5
+	// knownLatencies is the number of latencies of the old versions on a route from which its
+	// distribution counts as known.
+	knownLatencies = 20
+	// sliceLatencies bounds the latencies of a slice that count as independent: one slow upstream slows all that it runs.
+	sliceLatencies = 10
+	// sliceFailures bounds the failures of a slice that count as independent when the shift is compared with the
+	// time before: a fault of both versions may have been seen in one of the two only.
+	sliceFailures = 3
+	// commonFaultOdds is the Bayes factor by which a fault in the shift must be one of the target alone.
+	commonFaultOdds = 100
+	// commonFaultTime is the time after which a fault in the shift counts as one of the target if the
+	// answers of the old versions do not speak against it. Faults of both versions mostly pass sooner.
+	commonFaultTime = 1600 * time.Millisecond
+)
+
+// failureOdds are the alternatives of the tests of failures, with equal weights: they multiply the odds of a failure.
+var failureOdds = [...]float64{6, 60}
+
+// The distributions of latencies that are not held against the target, and the alternatives to them. Upstreams
+// of unlike speed can make the target up to twice as slow, or a part of its answers up to 2.8 times.
+var (
+	harmless = [...]slowdown{{1, -2}, {1, -1}, {0, 0}, {1, 1}, {1, 2}, {0.25, 3}, {0.5, 3}}
+	harmful  = [...]slowdown{
+		{1, 3}, {1, 4}, {1, 5}, {1, 7}, {0.6, 4}, {0.6, 6}, {0.3, 4}, {0.3, 6}, {0.15, 5}, {0.15, 7},
+	}
+)
+
+const (
+	// allRoutes is the weight of a test over all routes; the rest is divided over those by route.
+	allRoutes = 0.75
+	// firstOnset is the weight of a fault from the first answer on; the rest is divided over later onsets.
+	firstOnset = 0.75
+	laterOnset = (1 - firstOnset) / maxSlices
+)
+
+// Judge compares the target with the old versions by two sequential tests. Each computes an e-value, a
+// statistic whose expectation is at most 1 if the target is as good as the old versions, and judges the target bad
+// when it reaches 1/maxFalseAlarm. By Ville's inequality that happens to a good target with a probability of
+// at most maxFalseAlarm, however often Judge is called (Grünwald, de Heide, Koolen: Safe testing, JRSS B
+// 86, 2024; for two-by-two tables Turner, Ly, Grünwald: Generic E-variables for exact sequential k-sample
+// tests that allow for optional stopping, J. Stat. Plan. Inference 230, 2024).
+//
+// The first test compares the versions beside each other in time. Each slice of time is a stratum, and the e-values of the slices
+// multiply. Within a slice they are conditional on all that both versions answered together (Fisher's exact
+// test), so that a fault that strikes both alike is no evidence, whatever its rate. Failures
+// are compared as such, latencies by the likelihood of their bucket under a slowdown of the old versions'
+// histogram on the same route, with a tolerance of twice the time. Alternatives, onsets and routes are combined by the weighted mean of their
+// e-values, which is again an e-value and corrects for their number (Vovk, Wang: E-values: Calibration,
+// combination and applications, Ann. Stat. 49, 2021).
+//
+// In the shift the old versions answer next to nothing beside the target. The second test compares what the target
+// answered since the shift, or since any later moment, with all answers of the old versions. Its error rate is that stated if the
+// old versions would have gone on as before. For failures that is checked by the requests that were
+// retried at the old versions: the fault must be more likely one of the target alone.
 func Judge(now time.Time, r Rollout, e Evidence) Verdict {
-	target, base := e.Total(nil, r.Target), e.Total(nil, r.Base...)
-	if target.Failures >= 5 && target.Failures*base.Answers > 3*(base.Failures+1)*target.Answers {
-		return Verdict{bad: true, reason: "failures"}
+	s := newSample(r, e)
+	suspect := false
+	concurrent := s.concurrent()
+	for _, f := range []finding{concurrent, s.shifted(now, concurrent.e), s.latency()} {
+		if f.e >= 1/maxFalseAlarm {
+			return Verdict{bad: true, reason: s.describe(f)}
+		}
+		suspect = suspect || f.e >= suspectE
 	}
-	if target.Answers >= 100 {
-		return Verdict{good: true, reason: "enough answers"}
+	switch {
+	case suspect:
+		return Verdict{suspect: true}
+	case s.enough():
+		return Verdict{good: true, reason: fmt.Sprintf("no sign of a fault in %d answers", s.total.all.n1)}
 	}
 	return Verdict{}
 }
+
+// finding is the e-value of a test and its strongest part.
+type finding struct {
+	e     float64
+	top   float64
+	kind  string
+	route string
+}
+
+func (f *finding) add(weight float64, m mixture, kind, route string) {
+	f.e += weight * m.sum
+	if part := weight * m.sum; part > f.top {
+		f.top, f.kind, f.route = part, kind, route
+	}
+}
+
+func (s *sample) describe(f finding) string {
+	text := f.kind
+	if f.route != "" {
+		text += " on route " + f.route
+	}
+	t := s.total.all
+	return fmt.Sprintf("%s: %d of %d answers failed, %d of %d on the old versions; evidence %.3g", text, t.x1, t.n1, t.x0, t.n0, f.e)
+}
+
+// concurrent is the test of the failures of both versions beside each other.
+func (s *sample) concurrent() finding {
+	return s.failures("failures", s.concurrentFailures)
+}
+
+// shifted is the test of the target's failures since the shift against all those of the old versions. It takes the
+// e-value of the test before for evidence that the target is bad already, and multiplies it with that since.
+func (s *sample) shifted(now time.Time, before float64) finding {
+	if s.total.points == nil {
+		return finding{}
+	}
+	before = max(before, 1)
+	_, alone := s.shiftedFailures(now, s.total, before)
+	f := s.failures("failures after the shift", func(x *series) mixture {
+		m, factor := s.shiftedFailures(now, x, before)
+		if min(alone, factor) < 0 {
+			m.sum = min(m.sum, unprovenE) // All routes together point to a fault of both versions.
+		}
+		return m
+	})
+	f.e *= before
+	return f
+}
+
+func (s *sample) failures(kind string, test func(*series) mixture) finding {
+	var f finding
+	f.add(allRoutes, test(s.total), kind, "")
+	for _, x := range s.routes {
+		f.add((1-allRoutes)/float64(len(s.routes)), test(x), kind, x.name)
+	}
+	return f
+}
+
+// latency is the test of the target's latencies.
+func (s *sample) latency() finding {
+	var f finding
+	sum := newLogLikelihoods(len(s.total.points))
+	for _, x := range s.routes {
+		l := s.likelihoods(x)
+		sum.add(l)
+		f.add((1-allRoutes)/float64(len(s.routes)), l.mixture(), "latency", x.name)
+	}
+	f.add(allRoutes, sum.mixture(), "latency", "")
+	return f
+}
+
+// onsets mixes the products of the slices' e-values from each onset on.
+func onsets(m *mixture, weight float64, logs []float64) {
+	sum := 0.0
+	for i := len(logs) - 1; i > 0; i-- {
+		sum += logs[i]
+		if logs[i] != 0 {
+			m.add(weight*laterOnset, sum)
+		}
+	}
+	if len(logs) > 0 {
+		m.add(weight*firstOnset, sum+logs[0])
+	}
+}
+
+func (s *sample) concurrentFailures(x *series) mixture {
+	var m mixture
+	logs := make([]float64, len(x.points))
+	for _, odds := range failureOdds {
+		for i := range x.points {
+			p := &x.points[i]
+			logs[i] = p.errors.logE(odds)
+			// All losses of a slice count as one, because one crash can cause them all. A power
+			// of an e-value with an exponent below 1 is an e-value.
+			if n := p.lost.x1 + p.lost.x0; n > 0 {
+				logs[i] += p.lost.logE(odds) / float64(n)
+			}
+		}
+		onsets(&m, 1.0/float64(len(failureOdds)), logs)
+	}
+	return m
+}
+
+// logLikelihoods holds the logarithms of the likelihood of the target's latencies by slice.
+type logLikelihoods [][]float64
+
+func (l logLikelihoods) add(o logLikelihoods) {
+	for h := range l {
+		for i := range l[h] {
+			l[h][i] += o[h][i]
+		}
+	}
+}
+
+func newLogLikelihoods(slices int) logLikelihoods {
+	l := make(logLikelihoods, len(harmless)+len(harmful))
+	for h := range l {
+		l[h] = make([]float64, slices)
+	}
+	return l
+}
+
+// likelihoods returns the likelihoods of the target's latencies on one route under the harmless distributions and
+// then the harmful ones.
+func (s *sample) likelihoods(x *series) logLikelihoods {
+	l := newLogLikelihoods(len(s.total.points))
+	if x.base.total() < knownLatencies {
+		return l
+	}
+	base, total := complete(&x.base, &x.baseWaiting)
+	for h, slow := range slices.Concat(harmless[:], harmful[:]) {
+		d := slow.newDensity(&base, total)
+		for i := range x.points {
+			p := &x.points[i]
+			l[h][i] = d.logLikelihood(p)
+		}
+	}
+	return l
+}
+
+// mixture returns the mean over the onsets and harmful distributions of their likelihood in units of that of
+// the likeliest harmless distribution.
+func (l logLikelihoods) mixture() mixture {
+	var m mixture
+	sums := make([]float64, len(l))
+	for i := len(l[0]) - 1; i >= 0; i-- {
+		for h := range l {
+			sums[h] += l[h][i]
+		}
+		weight := laterOnset
+		if i == 0 {
+			weight = firstOnset
+		} else if l[0][i] == 0 {
+			continue // No fault begins here.
+		}
+		best := slices.Max(sums[:len(harmless)])
+		for _, sum := range sums[len(harmless):] {
+			m.add(weight/float64(len(harmful)), sum-best)
+		}
+	}
+	return m
+}
+
+func (s *sample) onsetWeight(i int) float64 {
+	if i == s.shift {
+		return firstOnset
+	}
+	return laterOnset
+}
+
+// shiftedFailures mixes the e-values of the failures since each onset in the shift. It also returns the logarithm of
+// the Bayes factor for a fault of the target alone, since the onset with the most evidence.
+func (s *sample) shiftedFailures(now time.Time, x *series, before float64) (mixture, float64) {
+	var m mixture
+	// tested holds the target's answers since the onset and all of the old versions, since those of both since the onset.
+	var tested, since table
+	for i := range x.points {
+		t := x.points[i].independent()
+		tested.add(table{n0: t.n0, x0: t.x0})
+	}
+	var strongest struct {
+		e     float64
+		since table
+		start time.Time
+	}
+	for i := len(x.points) - 1; i >= s.shift; i-- {
+		p := &x.points[i]
+		since.add(p.all)
+		t := p.independent()
+		tested.add(table{n1: t.n1, x1: t.x1})
+		if p.all.x1 == 0 && i > s.shift {
+			continue // No fault begins here.
+		}
+		var onset mixture
+		for _, odds := range failureOdds {
+			onset.add(1.0/float64(len(failureOdds)), tested.logE(odds))
+		}
+		m.sum += s.onsetWeight(i) * onset.sum
+		if p.all.x1 > 0 && onset.sum >= strongest.e {
+			strongest.e, strongest.since, strongest.start = onset.sum, since, p.start
+		}
+	}
+	// A fault of both versions may have begun shortly before the shift, so that time says nothing of that before.
+	var calm table
+	for i := range max(s.shift, 0) {
+		if p := &x.points[i]; p.start.Before(strongest.start.Add(-commonFaultTime)) {
+			calm.add(p.all)
+		}
+	}
+	factor := math.Log(before) + logCommonFault(strongest.since, calm.n0, calm.x0)
+	persists := now.Sub(strongest.start) >= commonFaultTime
+	if factor < math.Log(commonFaultOdds) && !(persists && factor >= 0) {
+		m.sum = min(m.sum, unprovenE)
+	}
+	return m, factor
+}
+
+// enough reports whether a bad target would have shown.
+func (s *sample) enough() bool {
+	if s.total.all.n1 < goodAnswers || s.warm < goodLatencies {
+		return false
+	}
+	for _, x := range s.routes {
+		if 10*x.all.n0 >= s.total.all.n0 && x.all.n1 < goodRoute {
+			return false
+		}
+	}
+	return true
+}
--- a/core/version/mprollout/ledger.go
+++ b/core/version/mprollout/ledger.go
@@ -17,20 +17,19 @@
 	otherRoutes = "*"
 )
 
-// cell is what became known during a slice of one version and route.
+// cell is what became known during a slice of the attempts of one version and route that began in one phase.
 type cell struct {
 	version, route          string
+	phase                   Phase
 	answers, failures, lost int
-	latency                 [Buckets]int
+	latency                 histogram
 }
 
 func (c *cell) add(o *cell) {
 	c.answers += o.answers
 	c.failures += o.failures
 	c.lost += o.lost
-	for i, n := range o.latency {
-		c.latency[i] += n
-	}
+	c.latency.add(&o.latency)
 }
 
 // slice holds what arrived from start on.
@@ -39,19 +38,20 @@
 	cells []cell
 }
 
-func (s *slice) cell(version, route string) *cell {
+func (s *slice) cell(version, route string, phase Phase) *cell {
 	for i := range s.cells {
-		if s.cells[i].version == version && s.cells[i].route == route {
-			return &s.cells[i]
+		if c := &s.cells[i]; c.version == version && c.route == route && c.phase == phase {
+			return c
 		}
 	}
-	s.cells = append(s.cells, cell{version: version, route: route})
+	s.cells = append(s.cells, cell{version: version, route: route, phase: phase})
 	return &s.cells[len(s.cells)-1]
 }
 
 type rowKey struct {
-	vm, version, route string
-	boot               uint64
+	reportKey
+	version, route string
+	phase          Phase
 }
 
 type reportKey struct {
@@ -62,9 +62,9 @@
 // vmReport is the newest report of a VM's process. It is replaced, never changed.
 type vmReport struct {
 	boot    uint64
-	serial  uint64
 	phase   Phase
 	running map[string]int
+	waiting []cell
 }
 
 // book holds what is known of one roll-out.
@@ -115,27 +115,35 @@
 		return
 	}
 	b.serials[from] = serial
-	report := vmReport{boot: from.boot, serial: serial, phase: rows[0].Phase, running: map[string]int{}}
+	report := vmReport{boot: from.boot, phase: b.reports[from.vm].phase, running: map[string]int{}}
 	s := b.current(now)
 	for i := range rows {
 		c := &rows[i]
 		if c.Version == "" {
+			report.phase = c.Phase
 			continue
 		}
 		report.running[c.Version] += int(c.Running)
-		key := rowKey{vm: from.vm, boot: from.boot, version: c.Version, route: c.Route}
+		if c.Waiting != (Histogram{}) {
+			w := cell{version: c.Version, route: b.route(c.Route), phase: c.Phase}
+			for j, n := range c.Waiting {
+				w.latency[j] = int32(n)
+			}
+			report.waiting = append(report.waiting, w)
+		}
+		key := rowKey{reportKey: from, version: c.Version, route: c.Route, phase: c.Phase}
 		old := b.rows[key]
 		// Counts that shrink within one process are not cumulative and would turn the sums negative.
 		if c.Answers < old.Answers || c.Failures < old.Failures || c.Lost < old.Lost || c.Answers == old.Answers && c.Failures == old.Failures {
 			continue
 		}
 		b.rows[key] = *c
-		added := s.cell(c.Version, b.route(c.Route))
+		added := s.cell(c.Version, b.route(c.Route), c.Phase)
 		added.answers += int(c.Answers - old.Answers)
 		added.failures += int(c.Failures - old.Failures)
 		added.lost += int(c.Lost - old.Lost)
 		for j, n := range c.Latency {
-			added.latency[j] += max(int(n)-int(old.Latency[j]), 0)
+			added.latency[j] += int32(max(n, old.Latency[j]) - old.Latency[j])
 		}
 	}
 	b.reports[from.vm] = report
@@ -163,7 +171,7 @@
 			for _, old := range b.slices[i:min(i+2, n)] {
 				for j := range old.cells {
 					c := &old.cells[j]
-					s.cell(c.version, c.route).add(c)
+					s.cell(c.version, c.route, c.phase).add(c)
 				}
 			}
 			merged = append(merged, s)
--- a/core/version/mprollout/rollout.go
+++ b/core/version/mprollout/rollout.go
@@ -59,11 +59,12 @@
 	// ID is different for each order.
 	ID  string `json:"id"`
 	Who string `json:"who"`
-	// StartedMs, DeadlineMs, ShiftedMs and EndedMs are in ms since the Unix epoch. ShiftedMs is 0
-	// in the trial, EndedMs while the roll-out runs.
+	// StartedMs, DeadlineMs, ShiftedMs, ChangedMs and EndedMs are in ms since the Unix epoch. ShiftedMs is 0
+	// in the trial, EndedMs while the roll-out runs. ChangedMs is when the share changed last.
 	StartedMs  int64 `json:"started"`
 	DeadlineMs int64 `json:"deadline"`
 	ShiftedMs  int64 `json:"shifted,omitempty"`
+	ChangedMs  int64 `json:"changed,omitempty"`
 	EndedMs    int64 `json:"ended,omitempty"`
 	State      State `json:"state"`
 	Phase      Phase `json:"phase"`
@@ -146,7 +147,7 @@
 	slices.Sort(base)
 	return Rollout{
 		Pool: req.Pool, Target: req.Target, Base: slices.Compact(base), ID: req.ID, Who: req.Who,
-		StartedMs: started, DeadlineMs: started + req.Duration.Milliseconds(),
+		StartedMs: started, DeadlineMs: started + req.Duration.Milliseconds(), ChangedMs: started,
 		State: StateRunning, Phase: PhaseTrial, Share: req.Share,
 	}, false, nil
 }
