mpwire: Report the attempts that wait

A leader gets the attempts that have not been answered yet, by the time since they began, and the phase in which the attempts of a row began, as mprollout.Counts holds them.

go test -race passes for mpwire, mplead and the tests of roll-outs in mpstate.

--- a/core/connection/mpwire/counts.go
+++ b/core/connection/mpwire/counts.go
@@ -19,7 +19,8 @@
 			Answers:   c.Answers,
 			Failures:  c.Failures,
 			Lost:      c.Lost,
-			Latencies: trimLatencies(&c.Latency),
+			Latencies: trimBuckets(&c.Latency),
+			Waiting:   trimBuckets(&c.Waiting),
 			Running:   c.Running,
 			Serial:    c.Serial,
 			Phase:     string(c.Phase),
@@ -28,7 +29,7 @@
 	return out
 }
 
-func trimLatencies(h *mprollout.Histogram) []uint32 {
+func trimBuckets(h *mprollout.Histogram) []uint32 {
 	n := len(h)
 	for n > 0 && h[n-1] == 0 {
 		n--
@@ -36,7 +37,7 @@
 	return slices.Clone(h[:n])
 }
 
-// DecodeCounts returns the rows of messages. It drops buckets of latency that no VM counts.
+// DecodeCounts returns the rows of messages. It drops buckets that no VM counts.
 func DecodeCounts(counts []*Count) []mprollout.Counts {
 	out := make([]mprollout.Counts, len(counts))
 	for i, c := range counts {
@@ -53,6 +54,7 @@
 			Phase:    mprollout.Phase(c.GetPhase()),
 		}
 		copy(out[i].Latency[:], c.GetLatencies())
+		copy(out[i].Waiting[:], c.GetWaiting())
 	}
 	return out
 }
--- a/core/connection/mpwire/counts_test.go
+++ b/core/connection/mpwire/counts_test.go
@@ -17,7 +17,7 @@
 	}
 	full.Latency[0], full.Latency[5] = 1, 8
 	last := full
-	last.Latency[mprollout.Buckets-1] = 5
+	last.Latency[mprollout.Buckets-1], last.Waiting[3] = 5, 6
 	want := []mprollout.Counts{{ID: "i", Pool: "p", Serial: 7, Phase: mprollout.PhaseShift}, full, last}
 	data, err := proto.Marshal(&ReportRequest{Counts: EncodeCounts(want)})
 	if err != nil {
@@ -31,7 +31,7 @@
 		t.Errorf("counts (-want +got):\n%s", diff)
 	}
 	t.Run("more buckets than there are", func(t *testing.T) {
-		rows := DecodeCounts([]*Count{{Latencies: make([]uint32, mprollout.Buckets+1)}})
+		rows := DecodeCounts([]*Count{{Latencies: make([]uint32, mprollout.Buckets+1), Waiting: make([]uint32, mprollout.Buckets+1)}})
 		if diff := cmp.Diff([]mprollout.Counts{{}}, rows); diff != "" {
 			t.Errorf("counts (-want +got):\n%s", diff)
 		}
--- a/core/process/mplead/rollouts_test.go
+++ b/core/process/mplead/rollouts_test.go
@@ -109,7 +109,7 @@
 		first := order(t, l, newTestOrder("a", "v2"))
 		want := &mprollout.Rollout{
 			Pool: "p", Target: "v2", Base: []string{"v1"}, ID: "a", Who: "ana", StartedMs: time.Now().UnixMilli(),
-			DeadlineMs: time.Now().Add(20 * time.Second).UnixMilli(), State: mprollout.StateRunning, Phase: mprollout.PhaseTrial, Share: 0.1,
+			DeadlineMs: time.Now().Add(20 * time.Second).UnixMilli(), ChangedMs: time.Now().UnixMilli(), State: mprollout.StateRunning, Phase: mprollout.PhaseTrial, Share: 0.1,
 		}
 		if diff := cmp.Diff(want, first.Rollout); diff != "" {
 			t.Errorf("roll-out (-want +got):\n%s", diff)
@@ -174,10 +174,11 @@
 func newBadReport(r mprollout.Rollout, vm string) *mpwire.ReportRequest {
 	rec := mprollout.NewRecorder(r)
 	for range 400 {
-		rec.Record("v1", "route", mprollout.Answered{Latency: 20 * time.Millisecond})
-		rec.Record(r.Target, "route", mprollout.Failed{})
+		old, target := rec.Begin(time.Now(), "v1", "route", false), rec.Begin(time.Now(), r.Target, "route", false)
+		old.Record(mprollout.Answered{Latency: 20 * time.Millisecond})
+		target.Record(mprollout.Failed{})
 	}
-	return &mpwire.ReportRequest{Vm: vm, Boot: 1, Counts: mpwire.EncodeCounts(rec.Report())}
+	return &mpwire.ReportRequest{Vm: vm, Boot: 1, Counts: mpwire.EncodeCounts(rec.Report(time.Now()))}
 }
 
 func checkState(t *testing.T, v *oneVoter, want mprollout.State) {
--- a/core/version/mpstate/rollouts_test.go
+++ b/core/version/mpstate/rollouts_test.go
@@ -16,7 +16,7 @@
 // newTestRollout returns a roll-out that was ordered at testNowMs.
 func newTestRollout(id string) mprollout.Rollout {
 	return mprollout.Rollout{
-		Pool: "p", Target: "v2", Base: []string{"v1"}, ID: id, Who: "ana", StartedMs: testNowMs, DeadlineMs: testNowMs + 12_000,
+		Pool: "p", Target: "v2", Base: []string{"v1"}, ID: id, Who: "ana", StartedMs: testNowMs, DeadlineMs: testNowMs + 12_000, ChangedMs: testNowMs,
 		State: mprollout.StateRunning, Phase: mprollout.PhaseTrial, Share: 0.1,
 	}
 }
@@ -109,9 +109,10 @@
 	}
 	unlisted := func(o *RolloutOrder) { o.Versions, o.Listed = nil, false }
 	second := newTestRollout("b")
-	second.StartedMs, second.DeadlineMs = testNowMs+6000, testNowMs+18_000
+	second.StartedMs, second.DeadlineMs, second.ChangedMs = testNowMs+6000, testNowMs+18_000, testNowMs+6000
 	follower := newTestRollout("c")
-	follower.Target, follower.Base, follower.StartedMs, follower.DeadlineMs = "v3", []string{"v1"}, testNowMs+3000, testNowMs+15_000
+	follower.Target, follower.Base = "v3", []string{"v1"}
+	follower.StartedMs, follower.DeadlineMs, follower.ChangedMs = testNowMs+3000, testNowMs+15_000, testNowMs+3000
 	followed := []Command{Change{Change: roll(newRevert(first))}, newTestOrder("c", "v3")}
 	third := second
 	third.Target, third.Base = "v3", []string{"v1"}
