--- a/core/process/mplead/rollouts.go
+++ b/core/process/mplead/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -119,9 +120,11 @@
 	l.cfg.Metrics.Add("rollout."+outcome, 1)
 	keyvals := []any{"msg", "roll-out " + outcome, "pool", o.Pool, "target", o.Target, "who", o.Who, "id", o.ID, "duration", o.Request().Duration}
 	if r.Rollout != nil {
-		keyvals = append(keyvals, "rollout", r.Rollout.ID, "base", r.Rollout.Base, "share", r.Rollout.Share)
+		keyvals = append(keyvals, "rollout", r.Rollout.ID, "base", strings.Join(r.Rollout.Base, ","), "share", r.Rollout.Share, "state", r.Rollout.State)
+	} else {
+		keyvals = append(keyvals, "code", r.Code, "text", r.Text)
 	}
-	level.Info(l.cfg.Logger).Log(append(keyvals, "code", r.Code, "text", r.Text)...)
+	level.Info(l.cfg.Logger).Log(keyvals...)
 }
 
 // stepRollouts decides on the roll-outs that run. A new leader waits until all VMs can have found it
