mpstate, mplead: Keep old versions that are all that is listed

A roll-out that was completed, and is ordered again while only the version that it replaced is listed, began without old versions, and so did one whose target is listed beside nothing but a reverted version. A roll-out now leaves out a version that gets nothing only if another one serves. The log line of a step counts the answers of all versions but the target, also of those that were listed after the order; seen in a trial of whole processes, where it named no answer of the old version.

go test -race passes for mplead and the tests of roll-outs in mpstate.

--- a/core/process/mplead/rollouts.go
+++ b/core/process/mplead/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -214,7 +215,7 @@
 	if !next.Running() {
 		l.cfg.Metrics.ObserveDuration("rollout.duration", now.Sub(next.Started()))
 	}
-	target, base := e.Total(f.VMs, r.Target), e.Total(f.VMs, r.Base...)
+	target, base := e.Total(f.VMs, r.Target), e.Total(f.VMs, oldVersions(r, f)...)
 	level.Info(l.cfg.Logger).Log("msg", "roll-out "+what, "pool", r.Pool, "target", r.Target, "id", r.ID, "share", next.Share, "reason", next.Reason,
 		"after", now.Sub(next.Started()), "left", next.Deadline().Sub(now),
 		"target_answers", target.Answers, "target_failures", target.Failures, "target_running", target.Running,
@@ -222,6 +223,17 @@
 		"vms", len(f.VMs), "in_trial", e.Reported(mprollout.PhaseTrial, f.VMs), "in_shift", e.Reported(mprollout.PhaseShift, f.VMs))
 }
 
+// oldVersions returns the versions beside the target, also those that were listed after the order.
+func oldVersions(r mprollout.Rollout, f mprollout.Fleet) []string {
+	out := slices.Clone(r.Base)
+	for version := range f.Upstreams {
+		if version != r.Target && !r.IsBase(version) {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
 // stepName says what the step from r to next does.
 func stepName(r, next mprollout.Rollout) string {
 	switch {
--- a/core/version/mpstate/rollouts.go
+++ b/core/version/mpstate/rollouts.go
@@ -119,7 +119,7 @@
 
 // baseVersions returns the listed versions that serve beside the target of a new roll-out. Versions
 // that get nothing since the latest roll-out ended are no such ones, though their upstreams stay in
-// the list until they have stopped. They are if no other version is listed.
+// the list until they have stopped. They are if nothing else can serve.
 func baseVersions(listed []string, target string, latest mprollout.Rollout) []string {
 	serves := slices.DeleteFunc(slices.Clone(listed), func(v string) bool {
 		switch latest.State {
@@ -132,8 +132,10 @@
 		return false
 	})
 	hasBase := slices.ContainsFunc(serves, func(v string) bool { return v != "" && v != target })
-	if !hasBase && target != latest.Target {
-		return listed
+	// A target that was completed before and is ordered again serves alone.
+	isAlone := target == latest.Target && slices.Contains(serves, target)
+	if hasBase || isAlone {
+		return serves
 	}
-	return serves
+	return listed
 }
--- a/core/version/mpstate/rollouts_test.go
+++ b/core/version/mpstate/rollouts_test.go
@@ -201,16 +201,18 @@
 		target string
 		want   []string
 	}{
-		"after a revert":                          {reverted, []string{"v1", "v2", "v3"}, "v3", []string{"v1"}},
-		"after a revert, the same again":          {reverted, []string{"v1", "v2"}, "v2", []string{"v1"}},
-		"only the reverted version is listed":     {reverted, []string{"v2"}, "v3", []string{"v2"}},
-		"after a completion":                      {complete, []string{"v1", "v2", "v3"}, "v3", []string{"v2"}},
-		"after a completion, back":                {complete, []string{"v1", "v2"}, "v1", []string{"v2"}},
-		"after a completion, the same again":      {complete, []string{"v1", "v2"}, "v2", nil},
-		"only the replaced version is listed":     {complete, []string{"v1"}, "v3", []string{"v1"}},
-		"a version that neither of the two knows": {complete, []string{"v1", "v2", "v4"}, "v3", []string{"v2", "v4"}},
-		"an upstream without a version":           {reverted, []string{"", "v2"}, "v3", []string{"v2"}},
-		"nothing is listed":                       {reverted, nil, "v3", nil},
+		"after a revert":                            {reverted, []string{"v1", "v2", "v3"}, "v3", []string{"v1"}},
+		"after a revert, the same again":            {reverted, []string{"v1", "v2"}, "v2", []string{"v1"}},
+		"only the reverted version is listed":       {reverted, []string{"v2"}, "v3", []string{"v2"}},
+		"after a completion":                        {complete, []string{"v1", "v2", "v3"}, "v3", []string{"v2"}},
+		"after a completion, back":                  {complete, []string{"v1", "v2"}, "v1", []string{"v2"}},
+		"after a completion, the same again":        {complete, []string{"v1", "v2"}, "v2", nil},
+		"only the replaced version is listed":       {complete, []string{"v1"}, "v3", []string{"v1"}},
+		"only the replaced version, the same again": {complete, []string{"v1"}, "v2", []string{"v1"}},
+		"only the reverted version and the target":  {reverted, []string{"v2", "v3"}, "v3", []string{"v2"}},
+		"a version that neither of the two knows":   {complete, []string{"v1", "v2", "v4"}, "v3", []string{"v2", "v4"}},
+		"an upstream without a version":             {reverted, []string{"", "v2"}, "v3", []string{"v2"}},
+		"nothing is listed":                         {reverted, nil, "v3", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := New()
