--- a/core/process/mplead/rollouts.go
+++ b/core/process/mplead/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -121,7 +122,7 @@
 	l.cfg.Metrics.Add("rollout."+outcome, 1)
 	keyvals := []any{"msg", "roll-out " + outcome, "pool", o.Pool, "target", o.Target, "who", o.Who, "id", o.ID, "duration", o.Request().Duration}
 	if r.Rollout != nil {
-		keyvals = append(keyvals, "rollout", r.Rollout.ID, "base", strings.Join(r.Rollout.Base, ","), "share", r.Rollout.Share, "state", r.Rollout.State)
+		keyvals = append(keyvals, "rollout", r.Rollout.ID, "base", strings.Join(r.Rollout.Base, ","), "share", formatShare(r.Rollout.Share), "state", r.Rollout.State)
 	} else {
 		keyvals = append(keyvals, "code", r.Code, "text", r.Text)
 	}
@@ -216,7 +217,7 @@
 		l.cfg.Metrics.ObserveDuration("rollout.duration", now.Sub(next.Started()))
 	}
 	target, base := e.Total(f.VMs, r.Target), e.Total(f.VMs, oldVersions(r, f)...)
-	level.Info(l.cfg.Logger).Log("msg", "roll-out "+what, "pool", r.Pool, "target", r.Target, "id", r.ID, "share", next.Share, "reason", next.Reason,
+	level.Info(l.cfg.Logger).Log("msg", "roll-out "+what, "pool", r.Pool, "target", r.Target, "id", r.ID, "share", formatShare(next.Share), "reason", next.Reason,
 		"after", now.Sub(next.Started()), "left", next.Deadline().Sub(now),
 		"target_answers", target.Answers, "target_failures", target.Failures, "target_running", target.Running,
 		"base_answers", base.Answers, "base_failures", base.Failures, "base_running", base.Running,
@@ -234,6 +235,9 @@
 	return out
 }
 
+// formatShare returns a share with the digits that matter in a log line.
+func formatShare(share float64) string { return strconv.FormatFloat(share, 'g', 3, 64) }
+
 // stepName says what the step from r to next does.
 func stepName(r, next mprollout.Rollout) string {
 	switch {
