mplead: Decide on roll-outs by no list of an earlier term

A voter that leads again and cannot read the platform's list had the list of its earlier term, which may lack the target, so that a good version could be reverted at its deadline. The upstreams now count as unknown until the list has been read.

go test -race passes for mplead, with a test of the fleet before the list is read.

--- a/core/process/mplead/rollouts.go
+++ b/core/process/mplead/rollouts.go
@@ -176,16 +176,15 @@
 	return l.ledger.Evidence(now, id)
 }
 
-// rolloutFleet returns the upstreams of a pool by version, and all VMs that may run attempts. VMs that leave
-// are among them until they have gone, since their attempts on the old versions go on.
+// rolloutFleet returns the upstreams of a pool by version, none if this leader has not read the list, and
+// all VMs that may run attempts. VMs that leave are among them until they have gone, since their attempts on
+// the old versions go on.
 func (l *Leader) rolloutFleet(now time.Time, pool string) mprollout.Fleet {
 	view := l.cfg.StateMachine.View()
-	l.mu.Lock()
-	list := l.upstreamList
-	l.mu.Unlock()
+	list, isNew := l.newList()
 	f := mprollout.Fleet{Upstreams: map[string]mprollout.Upstreams{}}
 	for _, row := range list.Rows() {
-		if row.Pool != pool {
+		if row.Pool != pool || !isNew {
 			continue
 		}
 		u := f.Upstreams[row.Version]
--- a/core/process/mplead/rollouts_test.go
+++ b/core/process/mplead/rollouts_test.go
@@ -298,5 +298,11 @@
 		if diff := cmp.Diff(want, l.rolloutFleet(time.Now().Add(4*time.Second), "p")); diff != "" {
 			t.Errorf("fleet after the cold start (-want +got):\n%s", diff)
 		}
+		// A list that was read when this voter led before may lack the target.
+		l.OnLeadershipChange(time.Now().Add(time.Second), true)
+		want.Upstreams = map[string]mprollout.Upstreams{}
+		if diff := cmp.Diff(want, l.rolloutFleet(time.Now(), "p")); diff != "" {
+			t.Errorf("fleet before the list is read (-want +got):\n%s", diff)
+		}
 	})
 }
