--- a/core/process/mpgateway/metrics.go
+++ b/core/process/mpgateway/metrics.go
@@ -31,6 +31,9 @@
 	g.metrics.Gauge("upstreams.limited", func() any { return g.quotas.limits.Count() })
 	g.metrics.Gauge("assign.held", func() any { return g.engineOwner.held() })
 	g.metrics.Gauge("origins", func() any { return g.origins.ledger.Count() })
+	if g.cfg.Rollouts.Enabled() {
+		g.metrics.Gauge("rollout.running", func() any { return g.runningRollouts() })
+	}
 	g.metrics.Gauge("relay.tunnels", func() any { return g.cfg.Relay.Tunnels() })
 	g.publishSpeedMetrics()
 	g.metrics.Gauge("pieces.waiting", func() any { return g.owner.Waiting() })
