mpproxy: Choose upstreams by the version that a roll-out allows

At a VM with a board of roll-outs, the first attempt of a request may go to the target if its share admits it, and otherwise goes to the old versions. What failed at the target is sent again to the old versions, if the route may be repeated. In the shift the target is used first, and the old versions for what it cannot take, such as at cold upstreams, which keep their rate. Streams stay at the version that began them, also after the roll-out; one that goes on at the target takes of its share. Rejections by the target count as well, as they have reached it.

Each attempt is recorded by version and route. A response that was lost, invalid or a 5xx that ran is a failure; rejections, refused connections, callers that disconnect and requests suspected of crashing upstreams count for nothing. A stream that is bound to its version counts as running between its attempts too, so that the old upstreams are not stopped under it.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -168,6 +168,7 @@
 		if e.isPaid = budget.TryWithdraw(); !e.isPaid {
 			t.end(false)
 			e.p.cfg.Selector.Done(e.p.cfg.Clock(), row.ID, e.pickInfo, mpselect.Neutral, 0)
+			e.returnShare()
 			return refused, "; " + reasonBudget, false
 		}
 	}
@@ -202,7 +203,8 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream, e.version = row.ID, row.Version
-	e.framing, e.tail, e.beganAt, e.isSound = noBody, 0, time.Time{}, false
+	e.framing, e.tail, e.beganAt, e.isSound, e.isLost = noBody, 0, time.Time{}, false, false
+	e.beginCount(row)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
@@ -210,6 +212,7 @@
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	now := e.p.cfg.Clock()
 	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt))
+	e.countOutcome(ctx, now, row, t, result, outcome)
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row, t)
@@ -264,7 +267,12 @@
 	connected, reused := false, false
 	var writes atomic.Int32
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !connected {
+				e.countArrival(row)
+			}
+			connected, reused = true, info.Reused
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if info.Err == nil {
 				writes.Add(1)
@@ -283,6 +291,7 @@
 		if !connected {
 			return refused, outcome, "connect: " + err.Error()
 		}
+		e.isLost = ctx.Err() == nil
 		return failed, outcome, "send: " + err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -376,6 +385,7 @@
 	e.beganAt = e.p.cfg.Clock()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
+		e.isLost = ctx.Err() == nil
 		return failed, outcomeOfLoss(ctx, idleTimer), "read response body: " + err.Error()
 	}
 	if len(body) > maxResponseBytes {
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -22,6 +22,7 @@
 	"mustardpost.org/core/request/mporigin"
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mproute"
 )
 
@@ -77,9 +78,11 @@
 	// Notices holds what upstreams said of themselves to this VM.
 	Notices *mpnotice.Board
 	Origins Origins
-	Metrics *mpmetric.Set
-	Logger  log.Logger
-	Clock   func() time.Time
+	// Versions holds the roll-outs of pools; nil if this VM does not act on versions.
+	Versions *mpversion.Board
+	Metrics  *mpmetric.Set
+	Logger   log.Logger
+	Clock    func() time.Time
 }
 
 // Proxy forwards requests to upstreams. It is safe for concurrent use.
@@ -141,6 +144,17 @@
 	upstream  string
 	// version is that of the software of upstream.
 	version string
+	// split is how the pool's requests are divided by version; nil if it had no roll-out.
+	split *mpversion.Split
+	// tookShare is set if the upstream was selected with a part of the target's share.
+	tookShare bool
+	// failedAtTarget is set once an attempt at the target of a roll-out has failed.
+	failedAtTarget bool
+	// counted is the last attempt as the roll-outs count it. That of a stream which is bound to
+	// its version runs until the request ends.
+	counted mpversion.Attempt
+	// isLost is set if the last attempt ended with its connection.
+	isLost bool
 	// framing is that of the last response from an upstream, and tail how many bytes of it
 	// came after its last event.
 	framing framing
@@ -397,6 +411,7 @@
 
 // finish updates the metrics and logs how the request ended.
 func (e *exchange) finish() {
+	e.counted.End()
 	route := ""
 	if e.route != nil {
 		route = e.route.Spec().Name
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -34,6 +34,7 @@
 		}
 		e.p.cfg.Metrics.Add("quota.denied", 1)
 		e.p.cfg.Selector.Return(row.ID, e.pickInfo, e.p.cfg.Clock().Add(wait))
+		e.returnShare()
 	}
 	now := e.p.cfg.Clock()
 	if until := e.p.cfg.Selector.DeferredUntil(now, e.untried()); !until.IsZero() {
@@ -47,12 +48,11 @@
 }
 
 // untried returns the candidates to which the request was not sent and that accept requests, of
-// those that may go on with a stream that has begun.
+// those that may go on with a stream that has begun, or may get new requests.
 func (e *exchange) untried() []mpselect.Candidate {
-	now := e.p.cfg.Clock()
+	now, split := e.p.cfg.Clock(), e.p.cfg.Versions.Split(e.pool.Spec().Name)
 	return slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
-		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || e.origin.IsKnown() && c.Row.Version != e.origin.Version ||
-			e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
+		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || !e.mayUseVersion(split, c.Row.Version) || e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
 	})
 }
 
@@ -65,13 +65,22 @@
 	}
 }
 
-// pickUsable selects an upstream whatever its rate. Trials of a suspect go to the same upstream
-// from all VMs, which other requests spare for a while.
+// pickUsable selects an upstream whatever its rate.
 func (e *exchange) pickUsable(t trial) (mplist.Row, bool) {
 	now := e.p.cfg.Clock()
 	candidates := e.untried()
+	e.split, e.tookShare = e.p.cfg.Versions.Split(e.pool.Spec().Name), false
+	if e.split == nil || e.origin.IsKnown() {
+		return e.pickAmong(now, t, candidates, candidates)
+	}
+	return e.pickVersion(now, t, candidates)
+}
+
+// pickAmong selects one of the candidates. Trials of a suspect go to the same upstream from all
+// VMs, one of usual, which other requests spare for a while.
+func (e *exchange) pickAmong(now time.Time, t trial, candidates, usual []mpselect.Candidate) (mplist.Row, bool) {
 	var warm []string
-	for _, c := range candidates {
+	for _, c := range usual {
 		if !now.Before(c.ColdUntil) {
 			warm = append(warm, c.Row.ID)
 		}
--- a/core/request/mpproxy/stages.go
+++ b/core/request/mpproxy/stages.go
@@ -50,7 +50,7 @@
 	s := &stageRun{
 		exchange:          e,
 		counts:            e.r.Pieces,
-		dc:                e.p.cfg.Selector.PeekDC(start, e.p.candidates(e.pool), e.pickInfo),
+		dc:                e.p.cfg.Selector.PeekDC(start, e.expected(start), e.pickInfo),
 		ready:             make([]chan struct{}, len(spec.Stages)),
 		results:           make([][]mpbatch.Result, len(spec.Stages)),
 		unfinishedReaders: make([]int, len(spec.Stages)),
--- a/core/request/mpproxy/stream.go
+++ b/core/request/mpproxy/stream.go
@@ -77,6 +77,7 @@
 			// A caller that leaves such a stream leaves because of the silence.
 			return failed, mpselect.Failed, "stream fell silent: " + err.Error()
 		default:
+			e.isLost = ctx.Err() == nil
 			return failed, outcomeOfLoss(ctx, idleTimer), "stream broke off: " + err.Error()
 		}
 	}
@@ -86,6 +87,7 @@
 	if !e.headerWritten {
 		e.timeToFirstEvent = e.p.cfg.Clock().Sub(e.sentAt)
 		e.p.forecast.recordFirstToken(e.pool.Spec().Name, e.r.Prompt, e.timeToFirstEvent)
+		e.countFirstEvent()
 		e.copyHeader(resp)
 		e.w.Header().Del("Content-Length")
 		e.bindOrigin(ctx)
