mpbatch, mpstage: Keep the share of a roll-out for pieces of stages

At a VM with a board of roll-outs, an owner of pieces sends the target of a roll-out a call only if the share admits all its pieces, and a call. The call has the pieces of one job. A piece that was at the target once goes to the old versions after that. In the shift only the target gets calls, unless all its upstreams are in backoff. Expected waits count the upstreams that get calls.

Each call is recorded as one outcome, since its pieces fail together. Its latency is scaled to that of a call with one piece: calls to the target are smaller than the others.

Routers choose shards by the upstreams of the versions in use, so that no job comes to an owner that may send it nowhere in the shift. The shards themselves and where results are freed stay the same. newDivision gets these upstreams as an argument, which its tests now pass.

--- a/core/process/mpstage/fleet_test.go
+++ b/core/process/mpstage/fleet_test.go
@@ -98,7 +98,7 @@
 // shards.
 func playFleet(seed uint64, rows []mplist.Row, count int) fleetOutcome {
 	usable := usableRows(rows, "")
-	division := newDivision("first", count, usable)
+	division := newDivision("first", count, usable, usable.Rows("first"))
 	var out fleetOutcome
 	random := rand.New(rand.NewPCG(seed, 191))
 	queues := make([]*fleetQueue, count)
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -24,6 +24,7 @@
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -69,9 +70,11 @@
 	Quotas Quotas
 	// Notices holds what upstreams said of themselves to this VM.
 	Notices *mpnotice.Board
-	Metrics *mpmetric.Set
-	Logger  log.Logger
-	Clock   func() time.Time
+	// Versions holds the roll-outs of pools; nil if this VM does not act on versions.
+	Versions *mpversion.Board
+	Metrics  *mpmetric.Set
+	Logger   log.Logger
+	Clock    func() time.Time
 }
 
 // Owner batches the pieces of the shards that this VM owns.
@@ -125,7 +128,7 @@
 	}
 	var upstreams []mpbatch.Upstream
 	for _, r := range q.shard.upstreams(o.usable) {
-		upstreams = append(upstreams, mpbatch.Upstream{ID: r.ID, Address: r.Address, DC: r.DC})
+		upstreams = append(upstreams, mpbatch.Upstream{ID: r.ID, Address: r.Address, DC: r.DC, Version: r.Version, ColdUntil: o.usable.ColdUntil(r)})
 	}
 	q.batcher.SetUpstreams(upstreams)
 	q.wake()
@@ -141,7 +144,9 @@
 		return nil, mperror.Wrap(mperror.ErrNotFound, "pool %s", s.pool)
 	}
 	spec := *o.table.Pool(s.pool).Spec().Batch
-	q := &shardQueue{owner: o, shard: s, wakeup: make(chan struct{}, 1), batcher: mpbatch.New(mpbatch.Config{Spec: spec, Rate: o.cfg.Quotas.Rate})}
+	q := &shardQueue{owner: o, shard: s, wakeup: make(chan struct{}, 1), batcher: mpbatch.New(mpbatch.Config{
+		Spec: spec, Rate: o.cfg.Quotas.Rate, Split: func() *mpversion.Split { return o.cfg.Versions.Split(s.pool) },
+	})}
 	o.queues[s] = q
 	o.refresh(q)
 	go q.run()
@@ -279,6 +284,8 @@
 		return
 	}
 	start := q.owner.cfg.Clock()
+	counted := q.beginCount(start, c)
+	defer counted.End()
 	ctx, cancel := context.WithTimeout(q.owner.ctx, c.Timeout)
 	defer cancel()
 	out := q.owner.cfg.Client.Run(ctx, start, c)
@@ -291,6 +298,7 @@
 		q.owner.cfg.Client.CloseIdle()
 		q.owner.cfg.Metrics.Add("batch.foreign", 1)
 	}
+	q.countOutcome(&counted, c, out, now.Sub(start))
 	q.owner.cfg.Metrics.Add("batch.calls", 1)
 	q.owner.cfg.Metrics.Add("batch.pieces", int64(len(c.Items)))
 	q.owner.cfg.Metrics.ObserveDuration("batch", now.Sub(start))
--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -15,6 +15,7 @@
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/request/mpbatch"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpview"
@@ -52,8 +53,10 @@
 	Table func() *mproute.Table
 	// Usable returns the upstreams that may get new work.
 	Usable func() *mplist.Usable
-	Logger log.Logger
-	Clock  func() time.Time
+	// Versions holds the roll-outs of pools; nil if this VM does not act on versions.
+	Versions *mpversion.Board
+	Logger   log.Logger
+	Clock    func() time.Time
 }
 
 // Router sends jobs to the owners of the shards of their pool. It is safe for concurrent use.
@@ -238,7 +241,7 @@
 		if p := table.Pool(pool); p != nil && p.Spec().Batch != nil {
 			count = shardCount(*p.Spec().Batch, usable.Listed(pool))
 		}
-		d = newDivision(pool, count, usable)
+		d = newDivision(pool, count, usable, r.cfg.Versions.ForStages(pool, usable.Rows(pool)))
 		r.divisions[pool] = d
 	}
 	return d
--- a/core/process/mpstage/shard.go
+++ b/core/process/mpstage/shard.go
@@ -113,22 +113,25 @@
 	count int
 	// numbers holds the shard of each usable upstream, by its address.
 	numbers map[string]int
-	// all holds the shard of each usable upstream, and byDC those in each data centre.
+	// all holds the shard of each upstream for which jobs are divided, and byDC those in each data
+	// centre.
 	all  []int
 	byDC map[string][]int
 }
 
-// newDivision divides a pool into count shards.
-func newDivision(pool string, count int, usable *mplist.Usable) *division {
+// newDivision divides a pool into count shards. Jobs go to the shards of the upstreams in chosen,
+// some of the usable ones.
+func newDivision(pool string, count int, usable *mplist.Usable, chosen []mplist.Row) *division {
 	d := &division{pool: pool, count: count, numbers: map[string]int{}, byDC: map[string][]int{}}
 	// Upstreams that are leaving or out of service count too, so that queues do not move with
 	// them.
 	numbers := assign(usable.Listed(pool), count)
 	for _, r := range usable.Rows(pool) {
-		n := numbers[r]
-		d.numbers[r.Address] = n
-		d.all = append(d.all, n)
-		d.byDC[r.DC] = append(d.byDC[r.DC], n)
+		d.numbers[r.Address] = numbers[r]
+	}
+	for _, r := range chosen {
+		d.all = append(d.all, numbers[r])
+		d.byDC[r.DC] = append(d.byDC[r.DC], numbers[r])
 	}
 	return d
 }
--- a/core/process/mpstage/shard_test.go
+++ b/core/process/mpstage/shard_test.go
@@ -149,7 +149,8 @@
 		"no preference, and a DC is out": {"dc1", "", []float64{0.6, 0.4}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newDivision("first", 2, usableRows(newRows(fleetFirst.perDC...), c.out))
+			usable := usableRows(newRows(fleetFirst.perDC...), c.out)
+			d := newDivision("first", 2, usable, usable.Rows("first"))
 			const jobs = 3000
 			got := make([]float64, d.count)
 			for i := range jobs {
--- a/core/request/mpbatch/admit.go
+++ b/core/request/mpbatch/admit.go
@@ -57,9 +57,9 @@
 
 // capacity returns what the upstreams that are not in a long backoff can do.
 func (b *Batcher) capacity(now time.Time) capacity {
-	c := capacity{soonest: -1}
+	c, turn := capacity{soonest: -1}, b.turnAt(now)
 	for _, s := range b.upstreams {
-		if !s.listed || s.backoffUntil.Sub(now) > initialBackoff {
+		if !s.listed || !turn.includes(s) || s.backoffUntil.Sub(now) > initialBackoff {
 			continue
 		}
 		callsPerSecond := 1 / b.callDuration(s, b.cfg.Spec.MaxPieces).Seconds()
--- a/core/request/mpbatch/batcher.go
+++ b/core/request/mpbatch/batcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mproute"
 )
 
@@ -19,6 +20,9 @@
 	// Rate returns the calls per second that an upstream takes, as far as it names a limit. It
 	// is nil if none does.
 	Rate func(upstream string) (float64, bool)
+	// Split returns how calls are divided between versions; nil if the pool had no roll-out. The
+	// function is nil if the VM does not act on versions.
+	Split func() *mpversion.Split
 }
 
 type storedResult struct {
@@ -44,8 +48,9 @@
 	// dropped ones.
 	lastSweep time.Time
 	// reserved counts, for the current run of Next, the pieces that wait for each busy
-	// upstream.
+	// upstream, and turn says which upstreams get calls in it.
 	reserved map[string]int
+	turn     turn
 }
 
 // New returns a Batcher without upstreams.
@@ -62,6 +67,9 @@
 // SetSpec replaces the configured sizes and durations.
 func (b *Batcher) SetSpec(spec mproute.BatchSpec) { b.cfg.Spec = spec }
 
+// Spec returns the configured sizes and durations.
+func (b *Batcher) Spec() mproute.BatchSpec { return b.cfg.Spec }
+
 // SetUpstreams replaces the upstreams that may get calls. Running calls to upstreams
 // that are no longer listed are not interrupted.
 func (b *Batcher) SetUpstreams(list []Upstream) {
@@ -110,7 +118,9 @@
 	b.sortQueue(now)
 	var open []*activeCall
 	b.reserved = map[string]int{}
+	b.turn = b.turnAt(now)
 	for _, j := range b.queue {
+		b.placeAtTarget(now, j, &open)
 		for i := range j.pieces {
 			if j.pieces[i].state != waiting {
 				continue
@@ -155,6 +165,9 @@
 		s.backoffUntil = now.Add(refusedBackoff)
 	case Deferred:
 		s.deferredUntil = now.Add(out.Wait)
+		if c.takenFrom != nil {
+			c.takenFrom.Return(len(c.jobs))
+		}
 	case Failed:
 		s.recordFailure(now)
 	}
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -39,7 +39,7 @@
 	var best *activeCall
 	for _, c := range *open {
 		s := b.upstreamsByID[c.call.Upstream.ID]
-		if len(c.jobs) >= b.cfg.Spec.MaxPieces || !b.hasMemory(now, s, j) {
+		if len(c.jobs) >= b.cfg.Spec.MaxPieces || c.takenFrom != nil || !b.hasMemory(now, s, j) {
 			continue
 		}
 		if best == nil || s.upstream.DC == j.preferredDC() && best.call.Upstream.DC != j.preferredDC() {
@@ -51,16 +51,21 @@
 	}
 	var idle *upstreamState
 	for _, s := range b.upstreams {
-		if s.isIdle(now) && b.hasMemory(now, s, j) && (idle == nil || b.isPreferred(s, idle, j)) {
+		if s.isIdle(now) && b.turn.includes(s) && b.hasMemory(now, s, j) && (idle == nil || b.isPreferred(s, idle, j)) {
 			idle = s
 		}
 	}
 	if idle == nil || idle.upstream.DC != j.preferredDC() && b.shouldAwaitPreferredDC(now, j) {
 		return nil
 	}
+	return b.openCall(now, idle, open)
+}
+
+// openCall returns a new call to s, which is idle.
+func (b *Batcher) openCall(now time.Time, s *upstreamState, open *[]*activeCall) *activeCall {
 	b.lastCallID++
-	c := &activeCall{call: Call{ID: b.lastCallID, Upstream: idle.upstream}, started: now}
-	idle.call = c
+	c := &activeCall{call: Call{ID: b.lastCallID, Upstream: s.upstream}, started: now}
+	s.call = c
 	b.activeCalls[c.call.ID] = c
 	*open = append(*open, c)
 	return c
@@ -75,7 +80,7 @@
 		return false
 	}
 	for _, s := range b.upstreams {
-		if s.upstream.DC != j.preferredDC() || !s.listed || s.call == nil || s.call.duplicated || !b.hasMemory(now, s, j) {
+		if s.upstream.DC != j.preferredDC() || !s.listed || !b.turn.includes(s) || s.call == nil || s.call.duplicated || !b.hasMemory(now, s, j) {
 			continue
 		}
 		if b.reserved[s.upstream.ID] >= b.cfg.Spec.MaxPieces {
@@ -95,7 +100,12 @@
 // tried. A job that exceeds the shares of all upstreams together may fill their
 // whole memory.
 func (b *Batcher) hasMemory(now time.Time, s *upstreamState, j *Job) bool {
-	occupied, limit := s.occupiedBytes(now), float64(b.cfg.Spec.ResultMemoryBytes)
+	return b.hasMemoryFor(now, s, j, 1)
+}
+
+// hasMemoryFor is hasMemory for a number of results of j.
+func (b *Batcher) hasMemoryFor(now time.Time, s *upstreamState, j *Job, results int) bool {
+	occupied, limit := s.occupiedBytes(now)+(results-1)*j.spec.ResultBytes, float64(b.cfg.Spec.ResultMemoryBytes)
 	if len(j.spec.Inputs) > 0 && float64(j.spec.ResultBytes*len(j.pieces)) <= memoryShare*limit*float64(len(b.upstreams)) {
 		limit *= memoryShare
 	}
@@ -127,6 +137,7 @@
 	}
 	j.pieces[i].state = running
 	j.pieces[i].inFlight++
+	j.pieces[i].triedTarget = j.pieces[i].triedTarget || b.turn.isTarget(s)
 	c.jobs = append(c.jobs, j)
 	c.call.Items = append(c.call.Items, Item{
 		Request:  j.spec.Request,
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -47,6 +47,10 @@
 	ID      string
 	Address string
 	DC      string
+	// Version is that of the upstream's software.
+	Version string
+	// ColdUntil is the end of the upstream's cold start; zero if it is warm.
+	ColdUntil time.Time
 }
 
 // Item is one piece in a Call.
@@ -175,6 +179,8 @@
 	dc     string
 	// inFlight is the number of running calls that contain the piece.
 	inFlight int
+	// triedTarget is set once a call to the target of a roll-out contained the piece.
+	triedTarget bool
 }
 
 // Done returns a channel that is closed when the job has completed, failed or been
--- a/core/request/mpbatch/upstream.go
+++ b/core/request/mpbatch/upstream.go
@@ -1,6 +1,10 @@
 package mpbatch
 
-import "time"
+import (
+	"time"
+
+	"mustardpost.org/core/request/mpversion"
+)
 
 const (
 	// A call is overdue after overdueFactor times its expected duration plus
@@ -66,6 +70,9 @@
 	// duplicated is set once the call is overdue and its unfinished pieces have been
 	// queued again for other upstreams.
 	duplicated bool
+	// takenFrom is what the call took its pieces from, if it is the share of the target of a
+	// roll-out; nil otherwise.
+	takenFrom *mpversion.Split
 }
 
 // remaining returns how much longer the call is expected to run, or 0 when it should
