mpversion: Keep versions that a VM without a lease does not know from requests

A VM without a lease reads the platform's list itself. If a roll-out was ordered meanwhile, it does not know of it, finds the target in the list and would send it an equal part of the pool's requests. Such a VM now uses only the versions that were listed while it had a lease, as long as one of them is listed and not leaving.

A test plays a VM that loses its lease, reads such a list, and regains the lease.

--- a/core/process/mpstage/router.go
+++ b/core/process/mpstage/router.go
@@ -241,7 +241,7 @@
 		if p := table.Pool(pool); p != nil && p.Spec().Batch != nil {
 			count = shardCount(*p.Spec().Batch, usable.Listed(pool))
 		}
-		d = newDivision(pool, count, usable, r.cfg.Versions.ForStages(pool, usable.Rows(pool)))
+		d = newDivision(pool, count, usable, r.cfg.Versions.ForStages(r.cfg.Clock(), pool, usable.Rows(pool)))
 		r.divisions[pool] = d
 	}
 	return d
--- a/core/process/mpstage/versions_test.go
+++ b/core/process/mpstage/versions_test.go
@@ -88,7 +88,7 @@
 	versions := mpversion.New(mpversion.Config{
 		HasLease: func(time.Time) bool { return r.hasLease }, Random: func() float64 { return 0.5 }, Metrics: mpmetric.New(), Logger: log.NewNopLogger(),
 	})
-	versions.SetList(list)
+	versions.SetList(time.Now(), list)
 	versions.SetRollouts([]mprollout.Rollout{r.row})
 	r.Owner = NewOwner(ctx, OwnerConfig{
 		Client: r.client, Quotas: noQuotas{}, Notices: mpnotice.New(), Versions: versions, Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
@@ -232,7 +232,7 @@
 	check := func(when string, want ...string) {
 		t.Helper()
 		var got []string
-		for _, row := range r.cfg.Versions.ForStages("first", rows) {
+		for _, row := range r.cfg.Versions.ForStages(time.Now(), "first", rows) {
 			got = append(got, row.ID)
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
--- a/core/request/mpbatch/target.go
+++ b/core/request/mpbatch/target.go
@@ -8,6 +8,7 @@
 
 // turn says which upstreams get calls at a moment, by the version of their software.
 type turn struct {
+	at    time.Time
 	split *mpversion.Split
 	mode  mpversion.Mode
 	// targetUsable is set if an upstream of the target is not in backoff.
@@ -16,7 +17,7 @@
 
 // turnAt returns which upstreams get calls at now.
 func (b *Batcher) turnAt(now time.Time) turn {
-	var t turn
+	t := turn{at: now}
 	if b.cfg.Split == nil {
 		return t
 	}
@@ -41,7 +42,7 @@
 	switch {
 	case t.split == nil:
 		return true
-	case !t.split.Admits(s.upstream.Version):
+	case !t.split.Admits(t.at, s.upstream.Version):
 		return false
 	}
 	switch t.mode {
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -52,7 +52,7 @@
 func (e *exchange) untried() []mpselect.Candidate {
 	now, split := e.p.cfg.Clock(), e.p.cfg.Versions.Split(e.pool.Spec().Name)
 	return slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
-		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || !e.mayUseVersion(split, c.Row.Version) || e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
+		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || !e.mayUseVersion(now, split, c.Row.Version) || e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
 	})
 }
 
--- a/core/request/mpproxy/versions.go
+++ b/core/request/mpproxy/versions.go
@@ -14,11 +14,11 @@
 
 // mayUseVersion reports whether the request may go to upstreams of a version. A stream goes on
 // only at the version that began it, also after a roll-out. split is nil if the pool had none.
-func (e *exchange) mayUseVersion(split *mpversion.Split, version string) bool {
+func (e *exchange) mayUseVersion(now time.Time, split *mpversion.Split, version string) bool {
 	if e.origin.IsKnown() {
 		return version == e.origin.Version
 	}
-	return split == nil || split.Admits(version)
+	return split == nil || split.Admits(now, version)
 }
 
 // expected returns the candidates of which the request is likely to get one.
@@ -28,7 +28,7 @@
 	if split == nil {
 		return candidates
 	}
-	candidates = slices.DeleteFunc(candidates, func(c mpselect.Candidate) bool { return !e.mayUseVersion(split, c.Row.Version) })
+	candidates = slices.DeleteFunc(candidates, func(c mpselect.Candidate) bool { return !e.mayUseVersion(now, split, c.Row.Version) })
 	if e.origin.IsKnown() {
 		return candidates
 	}
--- a/core/request/mpproxy/versions_test.go
+++ b/core/request/mpproxy/versions_test.go
@@ -59,7 +59,7 @@
 func (r *rolling) setList(list *mplist.List) {
 	state, _ := r.p.cfg.State.(staticState)
 	r.p.cfg.State = staticState{state.table, list}
-	r.p.cfg.Versions.SetList(list)
+	r.p.cfg.Versions.SetList(time.Now(), list)
 }
 
 func (r *rolling) shift() {
--- a/core/request/mpversion/mpversion.go
+++ b/core/request/mpversion/mpversion.go
@@ -7,11 +7,13 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/version/mplist"
@@ -47,18 +49,23 @@
 	// reverted holds the targets of reverted roll-outs that were not ordered again. The view has
 	// only the latest roll-out of a pool.
 	reverted map[software]bool
-	listed   map[software]bool
+	// listed holds the versions in the list, apart from upstreams that are leaving, and known those
+	// that were listed while the VM had a lease. Without one, it may not know of a roll-out whose
+	// target it finds in the list.
+	listed, known map[software]bool
+	// isConfirmed is set if known equals listed.
+	isConfirmed bool
 }
 
 // New returns a Board without roll-outs.
 func New(cfg Config) *Board {
 	return &Board{
 		cfg: cfg, wakeup: make(chan struct{}, 1),
-		running: map[software]int{}, reverted: map[software]bool{}, listed: map[software]bool{},
+		running: map[software]int{}, reverted: map[software]bool{}, listed: map[software]bool{}, known: map[software]bool{},
 	}
 }
 
-// Split returns how the requests of a pool are divided, or nil if it had no roll-out.
+// Split returns how the requests of a pool are divided, or nil if any of its upstreams may get them.
 func (b *Board) Split(pool string) *Split {
 	if b == nil {
 		return nil
@@ -91,6 +98,7 @@
 		}
 	}
 	b.splits.Store(&next)
+	b.updateUnknown()
 }
 
 // update returns the split for r, which replaces old, the split of its pool. The caller holds b.mu.
@@ -159,8 +167,8 @@
 	return slices.ContainsFunc(versions, func(v string) bool { return b.listed[software{pool, v}] })
 }
 
-// SetList replaces the list of upstreams.
-func (b *Board) SetList(list *mplist.List) {
+// SetList replaces the list of upstreams at now.
+func (b *Board) SetList(now time.Time, list *mplist.List) {
 	if b == nil {
 		return
 	}
@@ -168,9 +176,15 @@
 	defer b.mu.Unlock()
 	clear(b.listed)
 	for _, r := range list.Rows() {
-		b.listed[software{r.Pool, r.Version}] = true
+		if !r.Leaving {
+			b.listed[software{r.Pool, r.Version}] = true
+		}
 	}
 	maps.DeleteFunc(b.reverted, func(key software, _ bool) bool { return !b.listed[key] })
+	if b.isConfirmed = b.cfg.HasLease(now) || len(b.known) == 0; b.isConfirmed {
+		b.known = maps.Clone(b.listed)
+	}
+	b.updateUnknown()
 	if splits := b.splits.Load(); splits != nil {
 		for pool, s := range *splits {
 			s.hasBase.Store(b.lists(pool, s.row.Load().Base))
@@ -178,10 +192,61 @@
 	}
 }
 
+// Confirm records that the list is the newest one if the VM has a lease at now.
+func (b *Board) Confirm(now time.Time) {
+	if b == nil || !b.cfg.HasLease(now) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isConfirmed {
+		b.known, b.isConfirmed = maps.Clone(b.listed), true
+		b.updateUnknown()
+	}
+}
+
+// updateUnknown updates which versions of each pool are listed and not known, besides some that are
+// known. The caller holds b.mu.
+func (b *Board) updateUnknown() {
+	unknown, hasKnown := map[string][]string{}, map[string]bool{}
+	for key := range b.listed {
+		if b.known[key] {
+			hasKnown[key.pool] = true
+		} else {
+			unknown[key.pool] = append(unknown[key.pool], key.version)
+		}
+	}
+	maps.DeleteFunc(unknown, func(pool string, _ []string) bool { return !hasKnown[pool] })
+	next := map[string]*Split{}
+	if splits := b.splits.Load(); splits != nil {
+		maps.Copy(next, *splits)
+	}
+	maps.DeleteFunc(next, func(pool string, s *Split) bool { return s.row.Load().ID == "" && unknown[pool] == nil })
+	for pool := range unknown {
+		if next[pool] == nil {
+			// The versions of this pool differ in nothing else.
+			next[pool] = &Split{board: b}
+			next[pool].row.Store(&mprollout.Rollout{Pool: pool, State: mprollout.StateComplete})
+		}
+	}
+	for pool, s := range next {
+		versions := unknown[pool]
+		slices.Sort(versions)
+		if was := s.unknown.Swap(&versions); len(versions) > 0 && (was == nil || !slices.Equal(*was, versions)) {
+			_ = level.Info(b.cfg.Logger).Log("msg", "versions used with a lease only", "pool", pool, "versions", strings.Join(versions, ","))
+		}
+	}
+	if len(next) > 0 {
+		b.splits.Store(&next)
+	} else {
+		b.splits.Store(nil)
+	}
+}
+
 // ForStages returns the upstreams of a pool, out of rows, for which jobs are divided between owners.
 // They are those of the versions that most calls go to, so that no job comes to an owner that may
 // send it nowhere.
-func (b *Board) ForStages(pool string, rows []mplist.Row) []mplist.Row {
+func (b *Board) ForStages(now time.Time, pool string, rows []mplist.Row) []mplist.Row {
 	s := b.Split(pool)
 	if s == nil {
 		return rows
@@ -190,7 +255,7 @@
 	var target, old []mplist.Row
 	for _, row := range rows {
 		switch {
-		case !s.Admits(row.Version):
+		case !s.Admits(now, row.Version):
 		case row.Version == r.Target:
 			target = append(target, row)
 		default:
--- a/core/request/mpversion/mpversion_test.go
+++ b/core/request/mpversion/mpversion_test.go
@@ -31,7 +31,7 @@
 	for i, v := range versions {
 		rows = append(rows, mplist.Row{ID: fmt.Sprint("u", i), Pool: "app", Version: v})
 	}
-	b.SetList(mplist.New(begin, rows))
+	b.SetList(begin, mplist.New(begin, rows))
 }
 
 // order returns a roll-out of app from v1 to target.
@@ -82,7 +82,7 @@
 			b.cfg.HasLease = func(time.Time) bool { return c.hasLease }
 			b.SetRollouts([]mprollout.Rollout{c.row})
 			s := b.Split("app")
-			if diff := cmp.Diff(c.want, result{s.Mode(begin), s.Admits("v1"), s.Admits("v2")}); diff != "" {
+			if diff := cmp.Diff(c.want, result{s.Mode(begin), s.Admits(begin, "v1"), s.Admits(begin, "v2")}); diff != "" {
 				t.Errorf("use (-want +got):\n%s", diff)
 			}
 		})
@@ -107,16 +107,57 @@
 	for _, r := range []mprollout.Rollout{order("v2", 0.1), ended(order("v2", 0.1), mprollout.StateReverted), next} {
 		b.SetRollouts([]mprollout.Rollout{r})
 	}
-	if s := b.Split("app"); s.Admits("v2") || !s.Admits("v1") || !s.Admits("v3") {
-		t.Errorf("v1, v2 and v3 are admitted: %v, %v and %v, want all but v2", s.Admits("v1"), s.Admits("v2"), s.Admits("v3"))
+	if s := b.Split("app"); s.Admits(begin, "v2") || !s.Admits(begin, "v1") || !s.Admits(begin, "v3") {
+		t.Errorf("v1, v2 and v3 are admitted: %v, %v and %v, want all but v2", s.Admits(begin, "v1"), s.Admits(begin, "v2"), s.Admits(begin, "v3"))
 	}
 	again := order("v2", 0.1)
 	again.ID = "again"
 	for _, r := range []mprollout.Rollout{ended(next, mprollout.StateReverted), again} {
 		b.SetRollouts([]mprollout.Rollout{r})
 	}
-	if s := b.Split("app"); !s.Admits("v2") || s.Admits("v3") {
-		t.Errorf("v2 and v3 are admitted: %v and %v, want v2 only, which was ordered again", s.Admits("v2"), s.Admits("v3"))
+	if s := b.Split("app"); !s.Admits(begin, "v2") || s.Admits(begin, "v3") {
+		t.Errorf("v2 and v3 are admitted: %v and %v, want v2 only, which was ordered again", s.Admits(begin, "v2"), s.Admits(begin, "v3"))
+	}
+}
+
+// Guards against a VM without a lease that reads the list itself, finds the target of a roll-out that
+// it does not know of, and sends it an equal part of the requests.
+func TestUnknownVersionsWithoutLease(t *testing.T) {
+	hasLease := true
+	b := newBoard("v1")
+	b.cfg.HasLease = func(time.Time) bool { return hasLease }
+	setVersions(b, "v1")
+	check := func(when string, want bool) {
+		t.Helper()
+		s := b.Split("app")
+		if got := s == nil || s.Admits(begin, "v2"); got != want {
+			t.Errorf("%s: v2 gets requests: %v, want %v", when, got, want)
+		}
+		if s != nil && !s.Admits(begin, "v1") {
+			t.Errorf("%s: v1 gets no requests", when)
+		}
+	}
+	hasLease = false
+	setVersions(b, "v1", "v2")
+	check("no lease", false)
+	setVersions(b, "v2")
+	check("no lease, the known version has left", true)
+	setVersions(b, "v1", "v2")
+	hasLease = true
+	check("a lease again", true)
+	b.Confirm(begin)
+	if b.Split("app") != nil {
+		t.Error("the pool's requests are divided after the list was confirmed")
+	}
+	hasLease = false
+	setVersions(b, "v1", "v2")
+	check("known since", true)
+	setVersions(b, "v1", "v2", "v3")
+	hasLease = true
+	b.SetRollouts([]mprollout.Rollout{order("v2", 0.1)})
+	hasLease = false
+	if s := b.Split("app"); s.Mode(begin) != OldOnly || s.Admits(begin, "v3") {
+		t.Errorf("in a roll-out without a lease: mode %v, v3 admitted: %v", s.Mode(begin), s.Admits(begin, "v3"))
 	}
 }
 
--- a/core/request/mpversion/split.go
+++ b/core/request/mpversion/split.go
@@ -50,6 +50,8 @@
 	row   atomic.Pointer[mprollout.Rollout]
 	// barred holds the targets of earlier roll-outs that were reverted. It does not change.
 	barred []string
+	// unknown holds versions that get nothing without a lease.
+	unknown atomic.Pointer[[]string]
 	// hasBase is set while the list has an upstream of an old version.
 	hasBase atomic.Bool
 	// hasLease is set if the VM had a lease when it last looked, for the log.
@@ -103,10 +105,12 @@
 	return r.Running() && version == r.Target
 }
 
-// Admits reports whether upstreams of a version may get new requests at all.
-func (s *Split) Admits(version string) bool {
+// Admits reports whether upstreams of a version may get new requests at all at now.
+func (s *Split) Admits(now time.Time, version string) bool {
 	r := s.row.Load()
 	switch {
+	case s.isUnknown(version) && !s.board.cfg.HasLease(now):
+		return false
 	case version == r.Target:
 		return r.State != mprollout.StateReverted
 	case slices.Contains(s.barred, version):
@@ -115,6 +119,11 @@
 	return r.State != mprollout.StateComplete || !r.IsBase(version)
 }
 
+func (s *Split) isUnknown(version string) bool {
+	unknown := s.unknown.Load()
+	return unknown != nil && slices.Contains(*unknown, version)
+}
+
 // Arrived counts a call with n pieces, or a request, that reached an upstream of the pool. It adds
 // to what the target may get.
 func (s *Split) Arrived(n int) {
