mpmember: Adopt the view of a renewal before its list of upstreams

A renewal may bring both the order of a roll-out and the first upstreams of its target. VMs took over the list first, and for a moment sent the target an equal part of the requests. They now take over the view first. A list that cannot be taken over still keeps the lease from being extended.

A test checks the order of the two.

--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -253,12 +253,8 @@
 		return mperror.ErrNotLeader
 	}
 	m.SetLeader(address)
-	if err := m.updateList(time.Now(), reply); err != nil {
-		return err
-	}
-	hasLimits := m.mergeLimits(reply)
-	if err := m.applyChanges(reply); err != nil {
-		m.lease.Revoke()
+	hasLimits, err := m.adopt(reply)
+	if err != nil {
 		return err
 	}
 	// The leader granted the lease that long after it got the request, so after it was sent.
@@ -271,6 +267,19 @@
 	return nil
 }
 
+// adopt takes over what a renewal reply holds. The VM knows of a roll-out before it finds upstreams
+// of the target in the list. hasLimits is false if there are limits that it cannot take over.
+func (m *Member) adopt(reply *mpwire.RenewReply) (hasLimits bool, err error) {
+	if err := m.applyChanges(reply); err != nil {
+		m.lease.Revoke()
+		return false, err
+	}
+	if err := m.updateList(time.Now(), reply); err != nil {
+		return false, err
+	}
+	return m.mergeLimits(reply), nil
+}
+
 // mergeLimits adds the limits in a renewal reply. It returns false if there are some that this
 // VM cannot take over.
 func (m *Member) mergeLimits(reply *mpwire.RenewReply) bool {
--- a/core/connection/mpmember/mpmember_test.go
+++ b/core/connection/mpmember/mpmember_test.go
@@ -1,6 +1,8 @@
 package mpmember
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -166,3 +168,29 @@
 		})
 	}
 }
+
+// Guards against a VM that finds the target of a roll-out in its list before it knows of the
+// roll-out, and sends it an equal part of the requests.
+func TestViewIsAdoptedBeforeTheList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var steps []string
+	m := New(Config{
+		OnView: func(_ time.Time, _, next *mpview.View) { steps = append(steps, fmt.Sprint("view ", next.Revision())) },
+		OnList: func(_ time.Time, list *mplist.List) { steps = append(steps, fmt.Sprint("list of ", len(list.Rows()))) },
+	})
+	list := mplist.New(now, []mplist.Row{{ID: "a", Pool: "p", Address: "a", Version: "v2"}})
+	data, err := list.Encode(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change, err := json.Marshal(mpview.Change{Revision: 1, Op: mpview.Note{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.adopt(&mpwire.RenewReply{Changes: [][]byte{change}, Listed: list.Hash(), Upstreams: data}); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"view 1", "list of 1"}, steps); diff != "" {
+		t.Errorf("steps (-want +got):\n%s", diff)
+	}
+}
