mpgateway: Act on roll-outs, and report their counts

Operators of a deployment with bounds for roll-outs (Config.Rollouts) see VMs divide the requests of a pool between its versions, as its roll-out says. Without bounds no VM acts on versions.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -36,7 +36,9 @@
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mplist"
+	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpstate"
 	"mustardpost.org/core/version/mpview"
@@ -87,6 +89,9 @@
 	// SnapshotThreshold is the size of the log file, in bytes, that triggers a snapshot.
 	SnapshotThreshold int
 	RetryBudget       RetryBudget
+	// Rollouts holds the bounds of version roll-outs. The VM does not act on versions unless they
+	// are enabled.
+	Rollouts mprollout.Settings
 
 	Dialect     mpproxy.Dialect
 	BatchClient mpstage.BatchClient
@@ -119,6 +124,9 @@
 	quotas       *quotas
 	origins      *origins
 	notices      *mpnotice.Board
+	// versions is nil if this VM does not act on versions.
+	versions *mpversion.Board
+	boot     uint64
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -146,7 +154,9 @@
 		view:         mpview.Empty(),
 		quarantine:   mpquarantine.New(),
 		notices:      mpnotice.New(),
+		boot:         boot,
 	}
+	g.versions = g.newVersions()
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics, Logger: cfg.Logger})
 	g.quotas = &quotas{
 		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}),
@@ -169,10 +179,10 @@
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: g.voterAddresses})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
-		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
+		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Versions: g.versions, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
-		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Table: g.Table, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
+		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Table: g.Table, Usable: g.Usable, Versions: g.versions, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.evidence = newEvidence(func(ctx context.Context, op mpview.Op) error { return g.propose(ctx, systemName, op) }, g.member.Current, cfg.Logger)
 	g.trials = &trials{
@@ -192,6 +202,7 @@
 		Quotas:        g.quotas,
 		Notices:       g.notices,
 		Origins:       g.origins,
+		Versions:      g.versions,
 		Prober:        cfg.Relay,
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
@@ -284,6 +295,7 @@
 	if g.cfg.CallerAddress != "" {
 		go mptime.Every(ctx, fallbackCheckInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
 		go mptime.Every(ctx, confirmInterval, func(now time.Time) {
+			g.versions.Confirm(now)
 			if g.member.HasLease(now) {
 				g.origins.history.Confirm(now)
 			} else {
@@ -292,6 +304,7 @@
 		})
 	}
 	go g.evidence.run(ctx)
+	go g.reportRollouts(ctx)
 	go g.cfg.Relay.Run(ctx)
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
@@ -350,6 +363,7 @@
 
 func (g *Gateway) onView(now time.Time, old, next *mpview.View) {
 	g.updateQuarantine(now, next) // Before the first plan lets this VM serve.
+	g.versions.SetRollouts(next.Rollouts())
 	if r := next.Routing(); r.Version != old.Routing().Version {
 		table, err := g.cfg.DecodePlan(r)
 		if err != nil {
@@ -386,6 +400,7 @@
 
 func (g *Gateway) onList(now time.Time, list *mplist.List) {
 	g.origins.observe(now, list)
+	g.versions.SetList(now, list)
 	addresses := make([]string, len(list.Rows()))
 	for i, r := range list.Rows() {
 		addresses[i] = r.Address
