--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -106,13 +106,20 @@
 	Logger  log.Logger
 }
 
+// proposer commits commands.
+type proposer interface {
+	Propose(ctx context.Context, c mpstate.Command, inForceWait time.Duration) (mpproposer.Reply, error)
+}
+
+var _ proposer = (*mpproposer.Proposer)(nil)
+
 // Gateway is the process of one VM.
 type Gateway struct {
 	cfg          Config
 	metrics      *mpmetric.Set
 	client       *mppeer.Client
 	member       *mpmember.Member
-	proposer     *mpproposer.Proposer
+	proposer     proposer
 	selector     *mpselect.Selector
 	voterService *mpconsensus.Service
 	owner        *mpstage.Owner
@@ -289,6 +296,8 @@
 				LeaseDuration:     g.cfg.LeaseDuration,
 				MinVoters:         g.cfg.MinVoters,
 				Upstreams:         g.cfg.Upstreams,
+				Rollouts:          g.cfg.Rollouts,
+				Metrics:           g.metrics,
 			}, g.voterService.SetVoter)
 		}()
 	}
