mpversion: Record attempts by the handles of mprollout.Recorder

A Recorder now gives out a handle for each attempt and reports how long those without an answer have waited, and an Exposure admits requests at random. A board keeps handles for attempts that began before the order, without outcomes. Calls with pieces report no time of waiting, since what they should take depends on their pieces. Latencies of all answers are recorded, apart from those of cold upstreams and of streams that were resumed.

A VM starts with the credit of one more request, as an Exposure admits a request one later than it could.

--- a/core/process/mpgateway/rollouts.go
+++ b/core/process/mpgateway/rollouts.go
@@ -10,13 +10,13 @@
 
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpversion"
 )
 
 const (
-	// reportInterval is how often a VM reports its counts while a roll-out runs.
-	reportInterval = 400 * time.Millisecond
+	reportInterval = mplead.ReportInterval
 	// minReportPause is the least time between two reports. Some are sent at once, such as when
 	// the last attempt on the old versions ends, which may be so many times in a second.
 	minReportPause = 50 * time.Millisecond
@@ -55,7 +55,6 @@
 	if !g.cfg.Rollouts.Enabled() {
 		return nil
 	}
-	g.metrics.Gauge("rollout.active", func() any { return g.versions.IsRunning() })
 	return mpversion.New(mpversion.Config{
 		HasLease: func(now time.Time) bool { return g.member.HasLease(now) }, Random: rand.Float64, Metrics: g.metrics, Logger: g.cfg.Logger,
 	})
@@ -102,7 +101,7 @@
 		r.doneBy = ""
 		return
 	}
-	counts, changed := r.versions.Report()
+	counts, changed := r.versions.Report(now)
 	if !changed && r.doneBy == address && now.Sub(r.doneAt) < reportRefresh {
 		return
 	}
--- a/core/process/mpstage/versions.go
+++ b/core/process/mpstage/versions.go
@@ -15,7 +15,7 @@
 	if split := q.owner.cfg.Versions.Split(q.shard.pool); split != nil {
 		split.Arrived(len(c.Items))
 	}
-	return q.owner.cfg.Versions.Begin(q.shard.pool, c.Upstream.Version, "", now.Before(c.Upstream.ColdUntil))
+	return q.owner.cfg.Versions.Begin(now, q.shard.pool, c.Upstream.Version, "", !now.Before(c.Upstream.ColdUntil))
 }
 
 // countOutcome records how a call has ended. The pieces of a call fail together, so that each call
@@ -33,7 +33,7 @@
 	case hasReason(mpbatch.ReasonError):
 		counted.Failed(false)
 	case hasReason(mpbatch.ReasonLate) || hasReason(mpbatch.ReasonInputGone) || hasReason(mpbatch.ReasonNoMemory):
-		counted.Answered(mpversion.NoLatency) // The call did less than the others.
+		// The call did less than the others, for no fault of the version.
 	default:
 		counted.Answered(time.Duration(float64(took) * q.onePieceShare(len(c.Items))))
 	}
--- a/core/request/mpproxy/stream.go
+++ b/core/request/mpproxy/stream.go
@@ -87,7 +87,7 @@
 	if !e.headerWritten {
 		e.timeToFirstEvent = e.p.cfg.Clock().Sub(e.sentAt)
 		e.p.forecast.recordFirstToken(e.pool.Spec().Name, e.r.Prompt, e.timeToFirstEvent)
-		e.countFirstEvent()
+		e.counted.Answered(e.timeToFirstEvent)
 		e.copyHeader(resp)
 		e.w.Header().Del("Content-Length")
 		e.bindOrigin(ctx)
--- a/core/request/mpproxy/versions.go
+++ b/core/request/mpproxy/versions.go
@@ -9,7 +9,6 @@
 	"mustardpost.org/core/request/mpselect"
 	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mplist"
-	"mustardpost.org/core/version/mproute"
 )
 
 // mayUseVersion reports whether the request may go to upstreams of a version. A stream goes on
@@ -106,24 +105,15 @@
 }
 
 // beginCount begins to count an attempt. The last attempt of a stream that is bound to its version
-// has not ended until now, so that the stream counts as running in between.
+// has not ended until now, so that the stream counts as running in between. What a cold upstream
+// takes says nothing of its version, and neither does what a resumed stream takes to go on.
 func (e *exchange) beginCount(row mplist.Row) {
 	last := e.counted
 	isCold := e.p.cfg.State.Usable().ColdUntil(row).After(e.sentAt)
-	e.counted = e.p.cfg.Versions.Begin(row.Pool, row.Version, e.route.Spec().Name, isCold)
+	e.counted = e.p.cfg.Versions.Begin(e.sentAt, row.Pool, row.Version, e.route.Spec().Name, !isCold && e.lastEventID == "")
 	last.End()
 }
 
-// countFirstEvent records the first event of a stream. What a stream that its caller resumes takes
-// depends on how much of it there was before.
-func (e *exchange) countFirstEvent() {
-	latency := e.timeToFirstEvent
-	if e.r.LastEventID != "" {
-		latency = mpversion.NoLatency
-	}
-	e.counted.Answered(latency)
-}
-
 // countOutcome records how an attempt has ended. Rejections and callers that disconnect say nothing
 // of the version, and neither do failures under a request that is suspected of crashing upstreams.
 func (e *exchange) countOutcome(
@@ -135,11 +125,7 @@
 	switch {
 	case result == refused || result == inputsMissing || outcome == mpselect.Neutral:
 	case result == answered && e.status < http.StatusInternalServerError:
-		latency := now.Sub(e.sentAt)
-		if e.route.Spec().Kind == mproute.Stream || e.status >= http.StatusMultipleChoices {
-			latency = mpversion.NoLatency // That of streams was recorded with their first event.
-		}
-		e.counted.Answered(latency)
+		e.counted.Answered(now.Sub(e.sentAt)) // Streams were recorded with their first event.
 	case result == failed && (t.feature != 0 || e.gaveUpEarly(ctx, now)):
 	default:
 		e.counted.Failed(e.isLost)
--- a/core/request/mpversion/mpversion.go
+++ b/core/request/mpversion/mpversion.go
@@ -126,10 +126,8 @@
 	case s.recorder == nil:
 		s.recorder = mprollout.NewRecorder(r)
 		for key, n := range b.running {
-			for range n {
-				if key.pool == r.Pool {
-					s.recorder.Begin(key.version, "")
-				}
+			if key.pool == r.Pool {
+				s.countEarly(key.version, n)
 			}
 		}
 	default:
@@ -142,7 +140,7 @@
 
 // newSplit returns a split for a roll-out that this VM did not know. The caller holds b.mu.
 func (b *Board) newSplit(r mprollout.Rollout) *Split {
-	s := &Split{board: b, names: map[string]metricNames{}}
+	s := &Split{board: b, names: map[string]metricNames{}, early: map[string][]*mprollout.Attempt{}}
 	for key := range b.reverted {
 		if key.pool == r.Pool {
 			s.barred = append(s.barred, key.version)
@@ -150,15 +148,8 @@
 	}
 	s.hasLease.Store(true)
 	s.hasBase.Store(b.lists(r.Pool, r.Base))
-	// If the VMs began with no credit, many of them with few requests each would send the target
-	// nothing before the deadline. On average these credits let all VMs together send it its share: a
-	// random part of a request, and what the VM's first request adds, which is counted too late for
-	// itself.
 	random := b.cfg.Random()
-	for _, a := range []*account{&s.calls, &s.pieces} {
-		a.exposure.Admit(random)
-		a.add(r.Share, 1, savedCalls)
-	}
+	s.calls, s.pieces = newAccount(random, r.Share), newAccount(random, r.Share)
 	return s
 }
 
@@ -304,9 +295,9 @@
 	}
 }
 
-// Report returns all that was counted of the roll-outs that run, and whether any of it is new
-// since the last call.
-func (b *Board) Report() (counts []mprollout.Counts, changed bool) {
+// Report returns all that was counted of the roll-outs that run, as of now, and whether any of it is
+// new since the last call.
+func (b *Board) Report(now time.Time) (counts []mprollout.Counts, changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.splits.Load() == nil {
@@ -315,7 +306,14 @@
 	for _, s := range *b.splits.Load() {
 		if s.recorder != nil {
 			changed = changed || s.recorder.Changed()
-			counts = append(counts, s.recorder.Report()...)
+			counts = append(counts, s.recorder.Report(now)...)
+		}
+	}
+	for i := range counts {
+		if counts[i].Route == "" {
+			// How long a call with pieces should take depends on their number, so that the time for
+			// which one waits cannot be compared.
+			counts[i].Waiting = mprollout.Histogram{}
 		}
 	}
 	return counts, changed
--- a/core/request/mpversion/split.go
+++ b/core/request/mpversion/split.go
@@ -1,6 +1,7 @@
 package mpversion
 
 import (
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -29,12 +30,24 @@
 
 // account holds what the target may get of one unit: calls, or the pieces in them.
 type account struct {
-	exposure mprollout.Exposure
+	exposure *mprollout.Exposure
 	// saved counts what was admitted and not yet sent. It is negative after streams that the
 	// target began and that had to go on there.
 	saved int
 }
 
+// newAccount returns the account of a VM. random is uniformly distributed over [0, 1).
+func newAccount(random, share float64) account {
+	a := account{exposure: mprollout.NewExposure(math.Float64bits(random))}
+	// If the VMs began with no credit, many of them with few requests each would send the target
+	// nothing before the deadline. On average these credits let all VMs together send it its share: a
+	// random part of a request, what the VM's first request adds, which is counted too late for
+	// itself, and what one more adds, since an Exposure admits a request one later than it could.
+	a.exposure.Admit(random)
+	a.add(share, 2, savedCalls)
+	return a
+}
+
 // add counts n units that reached the pool.
 func (a *account) add(share float64, n, limit int) {
 	for range n {
@@ -65,7 +78,9 @@
 	largest int
 	// recorder is nil unless the roll-out runs.
 	recorder *mprollout.Recorder
-	names    map[string]metricNames
+	// early holds the attempts that run since before the roll-out, by version.
+	early map[string][]*mprollout.Attempt
+	names map[string]metricNames
 }
 
 // Mode returns how new requests are divided at now.
