--- a/core/process/mpgateway/rolloutfleet_test.go
+++ b/core/process/mpgateway/rolloutfleet_test.go
@@ -161,7 +161,7 @@
 		Metrics: mpmetric.New(), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	r := &reports{
-		vm: name, boot: 1, versions: vm.versions, hasLease: func(now time.Time) bool { return !vm.isCut && hasLease(now) }, leader: func() string { return "leader" },
+		vm: name, boot: 1, versions: vm.versions, hasLease: func(now time.Time) bool { return !vm.isCut && hasLease(now) }, leader: func() string { return "leader" }, vms: func() int { return 9 },
 		dial:    func(string) (mpwire.PeerClient, error) { return rolloutPeer{rolloutFleet: f}, nil },
 		metrics: mpmetric.New(), logger: log.NewNopLogger(),
 	}
--- a/core/process/mpgateway/rollouts.go
+++ b/core/process/mpgateway/rollouts.go
@@ -20,9 +20,11 @@
 	// minReportPause is the least time between two reports. Some are sent at once, such as when
 	// the last attempt on the old versions ends, which may be so many times in a second.
 	minReportPause = 50 * time.Millisecond
-	// reportRefresh is when counts that have not changed are reported again, since a leader that
-	// lost its office and regained it has none.
-	reportRefresh = 2 * time.Second
+	// Counts that have not changed are reported again after reportRefresh, since a leader that lost
+	// its office and regained it has none, but no sooner than after reportRefreshPerVM for each VM.
+	// This bounds such reports to 100 a second: the leader has a quarter of a core.
+	reportRefresh      = 2 * time.Second
+	reportRefreshPerVM = 10 * time.Millisecond
 	// reportTimeout limits a report, which is far above the round trip between data centres.
 	reportTimeout = 300 * time.Millisecond
 	// maxReportCalls is how many VMs are asked to take over a report until one of them leads.
@@ -37,7 +39,9 @@
 	versions *mpversion.Board
 	hasLease func(now time.Time) bool
 	// leader returns the peer address of the leader, or "" if it is not known.
-	leader  func() string
+	leader func() string
+	// vms returns the number of VMs.
+	vms     func() int
 	dial    func(address string) (mpwire.PeerClient, error)
 	metrics *mpmetric.Set
 	logger  log.Logger
@@ -66,8 +70,8 @@
 		return
 	}
 	r := &reports{
-		vm: g.cfg.VM, boot: g.boot, versions: g.versions, hasLease: g.member.HasLease, leader: g.member.Leader, dial: g.client.Stub,
-		metrics: g.metrics, logger: g.cfg.Logger,
+		vm: g.cfg.VM, boot: g.boot, versions: g.versions, hasLease: g.member.HasLease, leader: g.member.Leader,
+		vms: func() int { return g.member.Current().Size() }, dial: g.client.Stub, metrics: g.metrics, logger: g.cfg.Logger,
 	}
 	r.run(ctx)
 }
@@ -102,7 +106,8 @@
 		return
 	}
 	counts, changed := r.versions.Report(now)
-	if !changed && r.doneBy == address && now.Sub(r.doneAt) < reportRefresh {
+	refresh := max(reportRefresh, time.Duration(r.vms())*reportRefreshPerVM)
+	if !changed && r.doneBy == address && now.Sub(r.doneAt) < refresh {
 		return
 	}
 	request := &mpwire.ReportRequest{Vm: r.vm, Boot: r.boot, Counts: mpwire.EncodeCounts(counts)}
--- a/core/process/mpgateway/rollouts_test.go
+++ b/core/process/mpgateway/rollouts_test.go
@@ -26,6 +26,7 @@
 	// leads is the VM that leads, known the one that the VM takes for it.
 	leads, known string
 	hasLease     bool
+	vms          int
 	// isCut is set while reports are lost on their way, and isDeaf while their answers are.
 	isCut, isDeaf bool
 	ledger        *mprollout.Ledger
@@ -68,6 +69,7 @@
 	})
 	r := &reports{
 		vm: "v", boot: 7, versions: f.versions, hasLease: func(time.Time) bool { return get(f, &f.hasLease) }, leader: func() string { return get(f, &f.known) },
+		vms:     func() int { return get(f, &f.vms) },
 		dial:    func(address string) (mpwire.PeerClient, error) { return reportPeer{fleet: f, vm: address}, nil },
 		metrics: mpmetric.New(), logger: log.NewNopLogger(),
 	}
@@ -204,6 +206,15 @@
 		f.reportsIn(reportRefresh + reportInterval)
 		f.checkAnswers(t, 1)
 	})
+	inReportFleet(t, "many VMs do so less often", func(t *testing.T, f *reportFleet) {
+		f.change(func() { f.vms = 340 })
+		f.set(unchanged)
+		f.answer("v2")
+		f.reportsIn(time.Second)
+		if n := f.reportsIn(34 * time.Second); n > 10 {
+			t.Errorf("%d reports of unchanged counts in 34 s, want at most 10", n)
+		}
+	})
 	inReportFleet(t, "none without a lease", func(t *testing.T, f *reportFleet) {
 		f.change(func() { f.hasLease = false })
 		f.set(unchanged)
