mpversion: Take the old versions of a running roll-out from its order

The replicated state leaves a version that was reverted out of the old versions of the next order, unless nothing else serves. VMs went by what they remembered: a VM that had just started sent requests to the reverted version, and one that remembered it sent it nothing although it was the only old version. While a roll-out runs, requests now go to the versions that its order names, and to others only if none of these is listed. What a VM remembers counts after the roll-out.

A table of orders after a revert replaces the test of one, which took a reverted version in the order's old versions to be out of use.

--- a/core/request/mpversion/mpversion.go
+++ b/core/request/mpversion/mpversion.go
@@ -46,8 +46,8 @@
 	// running counts attempts, also those of pools without a roll-out: a roll-out that is
 	// ordered later must know which attempts run on the old versions.
 	running map[software]int
-	// reverted holds the targets of reverted roll-outs that were not ordered again. The view has
-	// only the latest roll-out of a pool.
+	// reverted holds the targets of reverted roll-outs that no later one uses. The view has only
+	// the latest roll-out of a pool.
 	reverted map[software]bool
 	// listed holds the versions in the list, apart from upstreams that are leaving, and known those
 	// that were listed while the VM had a lease. Without one, it may not know of a roll-out whose
@@ -113,7 +113,9 @@
 	if was != nil && was.State == mprollout.StateReverted {
 		b.reverted[software{r.Pool, was.Target}] = true
 	}
-	delete(b.reverted, software{r.Pool, r.Target})
+	for _, version := range append([]string{r.Target}, r.Base...) {
+		delete(b.reverted, software{r.Pool, version})
+	}
 	s := old
 	if was == nil || was.ID != r.ID {
 		s = b.newSplit(r)
--- a/core/request/mpversion/mpversion_test.go
+++ b/core/request/mpversion/mpversion_test.go
@@ -98,25 +98,44 @@
 	})
 }
 
-// Guards against a target that was reverted and gets requests again, as an old version of the next
-// roll-out: its upstreams are listed for some seconds more.
+// Guards against a target that was reverted and gets requests again, as an old version beside the
+// next roll-out: its upstreams are listed for some seconds more. It serves again if it is ordered, or
+// if there is nothing else.
 func TestRevertedTargetGetsNothing(t *testing.T) {
-	b := newBoard("v1", "v2", "v3")
-	next := order("v3", 0.1)
-	next.Base = []string{"v1", "v2"}
-	for _, r := range []mprollout.Rollout{order("v2", 0.1), ended(order("v2", 0.1), mprollout.StateReverted), next} {
-		b.SetRollouts([]mprollout.Rollout{r})
-	}
-	if s := b.Split("app"); s.Admits(begin, "v2") || !s.Admits(begin, "v1") || !s.Admits(begin, "v3") {
-		t.Errorf("v1, v2 and v3 are admitted: %v, %v and %v, want all but v2", s.Admits(begin, "v1"), s.Admits(begin, "v2"), s.Admits(begin, "v3"))
-	}
-	again := order("v2", 0.1)
-	again.ID = "again"
-	for _, r := range []mprollout.Rollout{ended(next, mprollout.StateReverted), again} {
-		b.SetRollouts([]mprollout.Rollout{r})
-	}
-	if s := b.Split("app"); !s.Admits(begin, "v2") || s.Admits(begin, "v3") {
-		t.Errorf("v2 and v3 are admitted: %v and %v, want v2 only, which was ordered again", s.Admits(begin, "v2"), s.Admits(begin, "v3"))
+	reverted := ended(order("v2", 0.1), mprollout.StateReverted)
+	next, again, beside := order("v3", 0.1), order("v2", 0.1), order("v3", 0.1)
+	again.ID, beside.Base = "again", []string{"v2"}
+	for name, c := range map[string]struct {
+		rows   []mprollout.Rollout
+		listed []string
+		// want holds the versions that get requests.
+		want []string
+	}{
+		"the next roll-out":                       {[]mprollout.Rollout{reverted, next}, []string{"v1", "v2", "v3"}, []string{"v1", "v3"}},
+		"the next roll-out, at a new VM":          {[]mprollout.Rollout{next}, []string{"v1", "v2", "v3"}, []string{"v1", "v3"}},
+		"the next one is reverted":                {[]mprollout.Rollout{reverted, next, ended(next, mprollout.StateReverted)}, []string{"v1", "v2", "v3"}, []string{"v1"}},
+		"the next one is complete":                {[]mprollout.Rollout{reverted, next, ended(next, mprollout.StateComplete)}, []string{"v1", "v2", "v3"}, []string{"v3"}},
+		"ordered again":                           {[]mprollout.Rollout{reverted, again}, []string{"v1", "v2"}, []string{"v1", "v2"}},
+		"the only old version":                    {[]mprollout.Rollout{reverted, beside}, []string{"v2", "v3"}, []string{"v2", "v3"}},
+		"the only old version, reverted to":       {[]mprollout.Rollout{reverted, beside, ended(beside, mprollout.StateReverted)}, []string{"v2", "v3"}, []string{"v2"}},
+		"an upstream without a version":           {[]mprollout.Rollout{next}, []string{"v1", "", "v3"}, []string{"v1", "", "v3"}},
+		"no old version left, another one listed": {[]mprollout.Rollout{next}, []string{"v4", "v3"}, []string{"v4", "v3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBoard(c.listed...)
+			for _, r := range c.rows {
+				b.SetRollouts([]mprollout.Rollout{r})
+			}
+			var got []string
+			for _, v := range c.listed {
+				if b.Split("app").Admits(begin, v) {
+					got = append(got, v)
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("versions that get requests (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
--- a/core/request/mpversion/split.go
+++ b/core/request/mpversion/split.go
@@ -120,7 +120,9 @@
 	return r.Running() && version == r.Target
 }
 
-// Admits reports whether upstreams of a version may get new requests at all at now.
+// Admits reports whether upstreams of a version may get new requests at all at now. While a roll-out
+// runs, its old versions are those that served at the order. Others are no substitute, such as
+// the target of the last roll-out that was reverted, unless none of the old versions is left.
 func (s *Split) Admits(now time.Time, version string) bool {
 	r := s.row.Load()
 	switch {
@@ -130,6 +132,8 @@
 		return r.State != mprollout.StateReverted
 	case slices.Contains(s.barred, version):
 		return false
+	case r.Running():
+		return r.IsBase(version) || version == "" || !s.hasBase.Load()
 	}
 	return r.State != mprollout.StateComplete || !r.IsBase(version)
 }
