--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -23,7 +23,6 @@
 	"mustardpost.org/core/connection/mpproposer"
 	"mustardpost.org/core/connection/mprelay"
 	"mustardpost.org/core/connection/mpupstream"
-	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpconsensus"
 	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/core/process/mpmetric"
@@ -37,6 +36,7 @@
 	"mustardpost.org/core/request/mpquarantine"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/request/mpselect"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mprollout"
 	"mustardpost.org/core/version/mproute"
@@ -137,6 +137,9 @@
 	engineOwner  *engineOwner
 	assigner     *assigner
 	notices      *mpnotice.Board
+	// versions is nil if this VM does not act on versions.
+	versions *mpversion.Board
+	boot     uint64
 
 	table atomic.Pointer[mproute.Table]
 	list  atomic.Pointer[mplist.List]
@@ -164,7 +167,9 @@
 		view:         mpview.Empty(),
 		quarantine:   mpquarantine.New(),
 		notices:      mpnotice.New(),
+		boot:         boot,
 	}
+	g.versions = g.newVersions()
 	g.client = mppeer.NewClient(mppeer.Config{Secret: cfg.Secret, LocalIP: cfg.LocalIP, Metrics: g.metrics, Logger: cfg.Logger})
 	g.quotas = &quotas{
 		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, limits: mpquota.NewLimits(), grants: mpquota.NewGrants(mpquota.GrantsConfig{}),
@@ -188,10 +193,10 @@
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: g.voterAddresses})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
-		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
+		Client: cfg.BatchClient, Quotas: g.quotas, Notices: g.notices, Versions: g.versions, Metrics: g.metrics, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.router = mpstage.NewRouter(mpstage.RouterConfig{
-		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Table: g.Table, Usable: g.Usable, Logger: cfg.Logger, Clock: time.Now,
+		VM: cfg.VM, Local: g.owner, Client: g.client, View: g.member.Current, Table: g.Table, Usable: g.Usable, Versions: g.versions, Logger: cfg.Logger, Clock: time.Now,
 	})
 	g.evidence = newEvidence(func(ctx context.Context, op mpview.Op) error { return g.propose(ctx, systemName, op) }, g.member.Current, cfg.Logger)
 	g.trials = &trials{
@@ -219,6 +224,7 @@
 		Origins:       g.origins,
 		Memory:        cfg.Memory,
 		Assigner:      g.assigner,
+		Versions:      g.versions,
 		Prober:        cfg.Relay,
 		Metrics:       g.metrics,
 		Logger:        cfg.Logger,
@@ -229,50 +235,6 @@
 	return g
 }
 
-// peer implements the RPCs that other VMs call.
-type peer struct {
-	*mpconsensus.Service
-	gateway *Gateway
-}
-
-var _ mpwire.PeerServer = peer{}
-
-// Make runs the pieces of one stage.
-func (p peer) Make(ctx context.Context, r *mpwire.MakeRequest) (*mpwire.MakeReply, error) {
-	return p.gateway.owner.Serve(ctx, r), nil
-}
-
-// Free releases results that are no longer needed.
-func (p peer) Free(_ context.Context, r *mpwire.FreeRequest) (*mpwire.FreeReply, error) {
-	p.gateway.owner.ServeFree(r)
-	return &mpwire.FreeReply{}, nil
-}
-
-// Try permits or ends the trial of a request that may crash upstreams.
-func (p peer) Try(_ context.Context, r *mpwire.TryRequest) (*mpwire.TryReply, error) {
-	return p.gateway.trials.serve(time.Now(), r), nil
-}
-
-// Take grants a request to an upstream whose rate this VM keeps.
-func (p peer) Take(_ context.Context, r *mpwire.TakeRequest) (*mpwire.TakeReply, error) {
-	return p.gateway.quotas.serve(time.Now(), r), nil
-}
-
-// Note records which software began a stream.
-func (p peer) Note(_ context.Context, r *mpwire.NoteRequest) (*mpwire.NoteReply, error) {
-	return p.gateway.origins.serveNote(time.Now(), r), nil
-}
-
-// Find returns which software began a stream.
-func (p peer) Find(_ context.Context, r *mpwire.FindRequest) (*mpwire.FindReply, error) {
-	return p.gateway.origins.serveFind(time.Now(), r), nil
-}
-
-// Tunnel connects another VM to an upstream.
-func (p peer) Tunnel(stream mpwire.Peer_TunnelServer) error {
-	return p.gateway.cfg.Relay.ServeTunnel(stream)
-}
-
 // Run takes part in the deployment until ctx is done, or returns the error of a
 // component that cannot continue. When leave is done, it stops waiting for other voters.
 func (g *Gateway) Run(ctx, leave context.Context) error {
@@ -314,6 +276,7 @@
 	if g.cfg.CallerAddress != "" {
 		go mptime.Every(ctx, fallbackCheckInterval, func(now time.Time) { g.refreshListWithoutLease(ctx, now) })
 		go mptime.Every(ctx, confirmInterval, func(now time.Time) {
+			g.versions.Confirm(now)
 			if g.member.HasLease(now) {
 				g.origins.history.Confirm(now)
 			} else {
@@ -322,6 +285,7 @@
 		})
 	}
 	go g.evidence.run(ctx)
+	go g.reportRollouts(ctx)
 	go g.cfg.Relay.Run(ctx)
 	go mpusage.NewMonitor(time.Now(), mpusage.Config{Metrics: g.metrics, Logger: g.cfg.Logger}).Run(ctx)
 	go mptime.Every(ctx, pruneInterval, func(now time.Time) {
@@ -383,6 +347,7 @@
 
 func (g *Gateway) onView(now time.Time, old, next *mpview.View) {
 	g.updateQuarantine(now, next) // Before the first plan lets this VM serve.
+	g.versions.SetRollouts(next.Rollouts())
 	if r := next.Routing(); r.Version != old.Routing().Version {
 		table, err := g.cfg.DecodePlan(r)
 		if err != nil {
@@ -420,6 +385,7 @@
 
 func (g *Gateway) onList(now time.Time, list *mplist.List) {
 	g.origins.observe(now, list)
+	g.versions.SetList(now, list)
 	addresses := make([]string, len(list.Rows()))
 	for i, r := range list.Rows() {
 		addresses[i] = r.Address
--- a/core/request/mpbatch/batcher.go
+++ b/core/request/mpbatch/batcher.go
@@ -7,6 +7,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/request/mpspeed"
+	"mustardpost.org/core/request/mpversion"
 	"mustardpost.org/core/version/mproute"
 )
 
@@ -22,6 +23,9 @@
 	Rate func(upstream string) (float64, bool)
 	// Speed holds how fast the upstreams are. If it is nil, the Batcher has a Board of its own.
 	Speed *mpspeed.Board
+	// Split returns how calls are divided between versions; nil if the pool had no roll-out. The
+	// function is nil if the VM does not act on versions.
+	Split func() *mpversion.Split
 }
 
 type storedResult struct {
@@ -47,8 +51,9 @@
 	// dropped ones.
 	lastSweep time.Time
 	// reserved counts, for the current run of Next, the pieces that wait for each busy
-	// upstream.
+	// upstream, and turn says which upstreams get calls in it.
 	reserved map[string]int
+	turn     turn
 }
 
 // New returns a Batcher without upstreams.
@@ -68,6 +73,9 @@
 // SetSpec replaces the configured sizes and durations.
 func (b *Batcher) SetSpec(spec mproute.BatchSpec) { b.cfg.Spec = spec }
 
+// Spec returns the configured sizes and durations.
+func (b *Batcher) Spec() mproute.BatchSpec { return b.cfg.Spec }
+
 // SetUpstreams replaces the upstreams that may get calls. Running calls to upstreams
 // that are no longer listed are not interrupted.
 func (b *Batcher) SetUpstreams(list []Upstream) {
@@ -116,7 +124,9 @@
 	b.sortQueue(now)
 	var open []*activeCall
 	b.reserved = map[string]int{}
+	b.turn = b.turnAt(now)
 	for _, j := range b.queue {
+		b.placeAtTarget(now, j, &open)
 		for i := range j.pieces {
 			if j.pieces[i].state != waiting {
 				continue
@@ -162,6 +172,9 @@
 		s.backoffUntil = now.Add(refusedBackoff)
 	case Deferred:
 		s.deferredUntil = now.Add(out.Wait)
+		if c.takenFrom != nil {
+			c.takenFrom.Return(len(c.jobs))
+		}
 	case Failed:
 		s.recordFailure(now)
 	}
--- a/core/request/mpproxy/assign.go
+++ b/core/request/mpproxy/assign.go
@@ -75,7 +75,8 @@
 // may serve it if these are not all. Engines of other versions are not listed. It returns false if
 // no engine is left.
 func (e *exchange) unusableEngines() (exclude, versions []string, ok bool) {
-	now, candidates := e.p.cfg.Clock(), e.untried()
+	now := e.p.cfg.Clock()
+	candidates := e.likely(now, e.untried())
 	place := e.placement(now, candidates)
 	usable := map[string]bool{}
 	for _, c := range candidates {
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -173,6 +173,7 @@
 		if e.isPaid = budget.TryWithdraw(); !e.isPaid {
 			t.end(false)
 			e.p.cfg.Selector.Done(e.p.cfg.Clock(), row.ID, e.pickInfo, mpselect.Neutral, 0)
+			e.returnShare()
 			return refused, "; " + reasonBudget, false
 		}
 	}
@@ -207,7 +208,8 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream, e.version = row.ID, row.Version
-	e.framing, e.tail, e.beganAt, e.isSound, e.roomWait, e.pace = noBody, 0, time.Time{}, false, 0, 0
+	e.framing, e.tail, e.beganAt, e.isSound, e.isLost, e.roomWait, e.pace = noBody, 0, time.Time{}, false, false, 0, 0
+	e.beginCount(row)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
@@ -217,6 +219,7 @@
 	e.settleAssignment(assignmentEnd(result, outcome))
 	now := e.p.cfg.Clock()
 	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, e.workTime(now, result))
+	e.countOutcome(ctx, now, row, t, result, outcome)
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row, t)
@@ -282,7 +285,12 @@
 	connected, reused := false, false
 	var writes atomic.Int32
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !connected {
+				e.countArrival(row)
+			}
+			connected, reused = true, info.Reused
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if info.Err == nil {
 				writes.Add(1)
@@ -301,6 +309,7 @@
 		if !connected {
 			return refused, outcome, "connect: " + err.Error()
 		}
+		e.isLost = ctx.Err() == nil
 		return failed, outcome, "send: " + err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -396,6 +405,7 @@
 	body, outcome, err := e.bufferResponse(ctx, resp, idleTimer, last)
 	defer body.release()
 	if err != nil {
+		e.isLost = ctx.Err() == nil && !errors.Is(err, errNoRoom) && !errors.Is(err, errResponseTooLarge)
 		return failed, outcome, err.Error()
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
--- a/core/request/mpproxy/pick.go
+++ b/core/request/mpproxy/pick.go
@@ -37,6 +37,7 @@
 		}
 		e.p.cfg.Metrics.Add("quota.denied", 1)
 		e.p.cfg.Selector.Return(row.ID, e.pickInfo, e.p.cfg.Clock().Add(wait))
+		e.returnShare()
 	}
 	now := e.p.cfg.Clock()
 	if until := e.p.cfg.Selector.DeferredUntil(now, e.untried()); !until.IsZero() {
@@ -50,12 +51,11 @@
 }
 
 // untried returns the candidates to which the request was not sent and that accept requests, of
-// those that may go on with a stream that has begun.
+// those that may go on with a stream that has begun, or may get new requests.
 func (e *exchange) untried() []mpselect.Candidate {
-	now := e.p.cfg.Clock()
+	now, split := e.p.cfg.Clock(), e.p.cfg.Versions.Split(e.pool.Spec().Name)
 	return slices.DeleteFunc(e.p.candidates(e.pool), func(c mpselect.Candidate) bool {
-		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || e.origin.IsKnown() && c.Row.Version != e.origin.Version ||
-			e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
+		return slices.Contains(e.pickInfo.Exclude, c.Row.ID) || !e.mayUseVersion(now, split, c.Row.Version) || e.p.cfg.Notices.Wait(now, c.Row.ID) > 0
 	})
 }
 
@@ -75,12 +75,21 @@
 	e.p.cfg.Selector.Report(e.p.cfg.Clock(), row.ID, l)
 }
 
-// pickUsable selects an upstream whatever its rate. Trials of a suspect go to the same upstream
-// from all VMs, which other requests spare for a while.
+// pickUsable selects an upstream whatever its rate.
 func (e *exchange) pickUsable(t trial) (mplist.Row, bool) {
 	now := e.p.cfg.Clock()
 	candidates := e.untried()
-	place := e.placement(now, candidates)
+	e.split, e.tookShare = e.p.cfg.Versions.Split(e.pool.Spec().Name), false
+	if e.split == nil || e.origin.IsKnown() {
+		return e.pickAmong(now, t, candidates, candidates)
+	}
+	return e.pickVersion(now, t, candidates)
+}
+
+// pickAmong selects one of the candidates. Trials of a suspect go to the same upstream from all
+// VMs, one of usual, which other requests spare for a while.
+func (e *exchange) pickAmong(now time.Time, t trial, candidates, usual []mpselect.Candidate) (mplist.Row, bool) {
+	place := e.placement(now, usual)
 	isMeant := func(c mpselect.Candidate) bool {
 		if t.isIsolated() {
 			return c.Row.ID == place.Upstream(t.feature)
--- a/core/request/mpproxy/stages.go
+++ b/core/request/mpproxy/stages.go
@@ -115,7 +115,7 @@
 			return row.DC
 		}
 	}
-	return e.p.cfg.Selector.PeekDC(now, e.p.candidates(e.pool), e.pickInfo)
+	return e.p.cfg.Selector.PeekDC(now, e.likely(now, e.p.candidates(e.pool)), e.pickInfo)
 }
 
 // timeLeft returns the expected time until the stages that have not ended do.
