--- a/core/request/mpassign/pool.go
+++ b/core/request/mpassign/pool.go
@@ -17,11 +17,13 @@
 	// Engines whose cost differs by less than nearMs, or by nearShare, are nearly equal.
 	nearMs    = 3.0
 	nearShare = 0.03
-	// An engine whose load exceeds the mean costs balanceMs more for each further mean load. A part is
-	// read again elsewhere when that exceeds the time to read it. Without it a part that many requests
-	// share keeps one engine several times as busy as the others while no request waits long. Where
-	// the mean is below fullLoad, it costs less, by the square, since few requests meet there.
-	balanceMs = 1500.0
+	// An engine whose load exceeds the mean costs balanceMs more for each further mean load. At 1.3 times
+	// the mean that is the time to prefill some 10,000 tokens, so that only the longest shared parts are
+	// still worth the wait. Higher values give up cached parts where others lose nothing by them; without
+	// it a part that many requests share keeps one engine several times as busy as the others while no
+	// request waits long. Where the mean is below fullLoad, it costs less, by the square, since few
+	// requests meet there.
+	balanceMs = 800.0
 	fullLoad  = 0.05
 	// runningMs is what a request costs those that run at an engine whose slots are all taken.
 	runningMs = 100.0
