mprollout: Judge, step and simulate roll-outs

Callers: Judge takes the row and the evidence, which has its own time.

The judge compares versions by e-values: failures beside each other by slice of time, failures since the shift against the time before and against retries, and latencies by a likelihood ratio that includes attempts that still wait. Step keeps part of the allowed exposure back for faults that show only in the shift, and ends every roll-out before its deadline.

--- a/core/version/mprollout/counts.go
+++ b/core/version/mprollout/counts.go
@@ -23,6 +23,11 @@
 	return min(int(math.Ceil(2*math.Log2(ms)-1e-9)), Buckets-1)
 }
 
+// upperBound returns the greatest latency of a bucket but the last.
+func upperBound(bucket int) time.Duration {
+	return time.Duration(math.Exp2(float64(bucket)/2) * float64(time.Millisecond))
+}
+
 // Add counts a latency.
 func (h *Histogram) Add(latency time.Duration) { h[Bucket(latency)]++ }
 
--- a/core/version/mprollout/evalue.go
+++ b/core/version/mprollout/evalue.go
@@ -100,8 +100,9 @@
 	return f, total
 }
 
-// newDensity estimates the density under the slowdown from a sample of the old versions' latencies.
-func (s slowdown) newDensity(h *[Buckets]float64, total float64) density {
+// newDensity estimates the density under the slowdown from a sample of the old versions' latencies, for the
+// buckets that are not empty in used.
+func (s slowdown) newDensity(h *[Buckets]float64, total float64, used *histogram) density {
 	var f, slow [Buckets]float64
 	last := 0
 	for i, n := range h {
@@ -125,7 +126,9 @@
 	for i := Buckets - 1; i >= 0; i-- {
 		p := ((1-s.part)*f[i] + s.part*slow[i]) / (total + 1 + 0.02*Buckets)
 		from += max(p, 1e-9)
-		d.in[i], d.from[i] = math.Log(max(p, 1e-9)), math.Log(from)
+		if used[i] > 0 {
+			d.in[i], d.from[i] = math.Log(max(p, 1e-9)), math.Log(from)
+		}
 	}
 	return d
 }
@@ -133,17 +136,22 @@
 // logLikelihood returns the logarithm of the likelihood of the target's latencies in p. Attempts that wait are
 // known to take at least as long as they have waited.
 func (d *density) logLikelihood(p *point) float64 {
-	var answered, waiting float64
-	for i := range d.in {
-		if p.latency[i] > 0 {
-			answered += float64(p.latency[i]) * d.in[i]
-		}
-		if p.waiting[i] > 0 {
-			waiting += float64(p.waiting[i]) * d.from[i]
+	return temperedSum(p.latency, &d.in) + temperedSum(p.waiting, &d.from)
+}
+
+// temperedSum returns the sum of the logarithms of h's answers, in which no more than sliceLatencies count in full.
+func temperedSum(h *histogram, logs *[Buckets]float64) float64 {
+	if h == nil {
+		return 0
+	}
+	sum, total := 0.0, int32(0)
+	for i, n := range h {
+		if n > 0 {
+			sum += float64(n) * logs[i]
+			total += n
 		}
 	}
-	power := func(n int) float64 { return min(1, sliceLatencies/float64(max(n, 1))) }
-	return answered*power(p.latency.total()) + waiting*power(p.waiting.total())
+	return sum * min(1, sliceLatencies/float64(max(total, 1)))
 }
 
 // mixture sums up weighted e-values that are given by their logarithms. The sum of e-values with weights that
@@ -161,14 +169,23 @@
 	return x + y - z
 }
 
+// severalFailures is the number of failures that are not taken for chance.
+const severalFailures = 3
+
 // logCommonFault returns the logarithm of the Bayes factor for a fault of the target alone against one
-// that strikes both versions alike. In now are the answers since the fault began, and in x0 of n0 those of the old versions
-// before. The rate of the fault has a uniform prior, that of the old versions a Jeffreys prior.
-func logCommonFault(now table, n0, x0 int) float64 {
-	f := func(x, n int, a, b float64) float64 {
+// that strikes both versions alike. In now are the answers since the fault began, in calm those of the old versions
+// well before. The rate of the fault has a uniform prior, that of the old versions a Jeffreys prior. The factor is at most 0 if
+// several answers of the old versions failed too, and that is itself more likely under a fault, whatever its rate at the target.
+func logCommonFault(now, calm table) float64 {
+	rate := func(x, n int, a, b float64) float64 {
 		return logBeta(a+float64(x), b+float64(n-x)) - logBeta(a, b)
 	}
-	alone := f(now.x1, now.n1, 1, 1) + f(now.x0, now.n0, 0.5+float64(x0), 0.5+float64(n0-x0))
-	common := f(now.x1+now.x0, now.n1+now.n0, 1, 1)
-	return alone - common
+	old := rate(now.x0, now.n0, 0.5+float64(calm.x0), 0.5+float64(calm.n0-calm.x0))
+	alone := rate(now.x1, now.n1, 1, 1) + old
+	common := rate(now.x1+now.x0, now.n1+now.n0, 1, 1)
+	factor := alone - common
+	if struck := rate(now.x0, now.n0, 1, 1); now.x0 >= severalFailures && old < struck {
+		return min(factor, old-struck)
+	}
+	return factor
 }
--- a/core/version/mprollout/ledger.go
+++ b/core/version/mprollout/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -64,7 +65,8 @@
 	boot    uint64
 	phase   Phase
 	running map[string]int
-	waiting []cell
+	// open holds the attempts that run: their number as answers, and the times for which they wait as latencies.
+	open []cell
 }
 
 // book holds what is known of one roll-out.
@@ -88,17 +90,22 @@
 // Merge takes a report of the process of vm with the given boot, which arrived at now. Lost, repeated and
 // reordered reports do no harm.
 func (l *Ledger) Merge(now time.Time, vm string, boot uint64, rows []Counts) {
-	byID := map[string][]Counts{}
-	for _, c := range rows {
-		byID[c.ID] = append(byID[c.ID], c)
+	byID := func(a, b Counts) int { return strings.Compare(a.ID, b.ID) }
+	if !slices.IsSortedFunc(rows, byID) {
+		rows = slices.SortedStableFunc(slices.Values(rows), byID)
 	}
-	for id, rows := range byID {
+	for len(rows) > 0 {
+		id, n := rows[0].ID, 1
+		for n < len(rows) && rows[n].ID == id {
+			n++
+		}
 		b, ok := l.books[id]
 		if !ok {
 			b = newBook()
 			l.books[id] = b
 		}
-		b.merge(now, reportKey{vm: vm, boot: boot}, rows)
+		b.merge(now, reportKey{vm: vm, boot: boot}, rows[:n])
+		rows = rows[n:]
 	}
 }
 
@@ -124,12 +131,12 @@
 			continue
 		}
 		report.running[c.Version] += int(c.Running)
-		if c.Waiting != (Histogram{}) {
-			w := cell{version: c.Version, route: b.route(c.Route), phase: c.Phase}
+		if c.Running > 0 {
+			open := cell{version: c.Version, route: b.route(c.Route), phase: c.Phase, answers: int(c.Running)}
 			for j, n := range c.Waiting {
-				w.latency[j] = int32(n)
+				open.latency[j] = int32(n)
 			}
-			report.waiting = append(report.waiting, w)
+			report.open = append(report.open, open)
 		}
 		key := rowKey{reportKey: from, version: c.Version, route: c.Route, phase: c.Phase}
 		old := b.rows[key]
@@ -254,6 +261,25 @@
 	return float64(t.Answers) / max(e.at.Sub(r.Started()).Seconds(), 1)
 }
 
+// slowLatency returns the slowQuantile of the latencies of the old versions.
+func (e Evidence) slowLatency(r Rollout) time.Duration {
+	var sum histogram
+	for _, s := range e.slices {
+		for i := range s.cells {
+			if c := &s.cells[i]; c.version != r.Target {
+				sum.add(&c.latency)
+			}
+		}
+	}
+	left := (1 - slowQuantile) * float64(sum.total())
+	for i := Buckets - 1; i > 0; i-- {
+		if left -= float64(sum[i]); left < 0 {
+			return upperBound(i)
+		}
+	}
+	return 0
+}
+
 // Reported returns how many of vms have reported that they act on the phase p.
 func (e Evidence) Reported(p Phase, vms []string) int {
 	n := 0
--- a/core/version/mprollout/step.go
+++ b/core/version/mprollout/step.go
@@ -8,12 +8,17 @@
 
 // Fleet is what the leader knows of the VMs, and of the upstreams of a roll-out's pool.
 type Fleet struct {
-	// Upstreams holds the listed upstreams of the pool by version.
+	// Upstreams holds the listed upstreams of the pool by version; it is empty if the list is not known.
 	Upstreams map[string]Upstreams
 	// VMs holds the names of the VMs that serve.
 	VMs []string
 }
 
+// lacks reports whether the platform's list is known and has no usable upstream of version.
+func (f Fleet) lacks(version string) bool {
+	return len(f.Upstreams) > 0 && f.Upstreams[version].Usable == 0
+}
+
 // Upstreams counts the upstreams of one version.
 type Upstreams struct {
 	Listed int
@@ -28,6 +33,11 @@
 	reactionTime = 1300 * time.Millisecond
 	// shiftAnswers is the number of answers in the shift that it takes to judge a plainly bad target.
 	shiftAnswers = 12
+	// slowFactor is the number of times that a slow but usual answer of the old versions takes after which a
+	// target that is slow under full load is known by its attempts that wait.
+	slowFactor = 2
+	// slowQuantile is the part of the old versions' answers that are no slower than a slow but usual one.
+	slowQuantile = 0.95
 	// suspectShift is the part of the time for the shift that is left if the target is suspect and the
 	// trial is prolonged.
 	suspectShift = 0.6
@@ -67,7 +77,7 @@
 		shiftFrom: r.Started().Add(part(0.4)),
 		shiftBy:   end.Add(-forStreams),
 		shiftLast: end.Add(-time.Duration(suspectShift * float64(forStreams))),
-		watch:     min(max(part(1.0/6), 2*time.Second), forStreams),
+		watch:     min(max(part(0.25), 2*time.Second), forStreams),
 		end:       end,
 	}
 }
@@ -81,15 +91,17 @@
 	if !r.Running() {
 		return r, false
 	}
-	v := Judge(now, r, e)
+	v := Judge(r, e)
 	plan := newSchedule(r)
 	switch {
 	case v.Bad():
 		return r.end(now, StateReverted, v.Reason()), true
+	case r.Phase == PhaseTrial && !now.Before(plan.shiftLast) && v.failuresE >= lastE:
+		return r.end(now, StateReverted, v.Reason()), true
 	case !now.Before(plan.end):
-		return r.decide(now, e, f), true
+		return r.decide(now, v, e, f), true
 	case r.Phase == PhaseShift:
-		return r.finish(now, plan, e, f)
+		return r.finish(now, plan, v, e, f)
 	case r.mayShift(now, plan, v, e, f):
 		r.Phase, r.Share, r.ShiftedMs, r.ChangedMs = PhaseShift, 1, now.UnixMilli(), now.UnixMilli()
 		r.Reason = v.Reason()
@@ -114,21 +126,25 @@
 	return r
 }
 
-// decide ends a roll-out whose target is not judged bad, because its time is over.
-func (r Rollout) decide(now time.Time, e Evidence, f Fleet) Rollout {
+// decide ends a roll-out whose target has not been judged bad, because its time is over.
+func (r Rollout) decide(now time.Time, v Verdict, e Evidence, f Fleet) Rollout {
 	switch {
+	case v.failuresE >= lastE:
+		return r.end(now, StateReverted, v.Reason())
 	case e.Total(nil, r.Target).Answers == 0:
 		return r.end(now, StateReverted, "the target has not answered any request")
-	case f.Upstreams[r.Target].Usable == 0:
+	case f.lacks(r.Target):
 		return r.end(now, StateReverted, "the target has no usable upstream")
 	}
 	return r.end(now, StateComplete, "not judged bad by the deadline")
 }
 
-// finish completes a roll-out in the shift once no attempt runs on the old versions.
-func (r Rollout) finish(now time.Time, plan schedule, e Evidence, f Fleet) (Rollout, bool) {
+// finish completes a roll-out in the shift once no attempt runs on the old versions and a fault that shows only under full load
+// would have shown.
+func (r Rollout) finish(now time.Time, plan schedule, v Verdict, e Evidence, f Fleet) (Rollout, bool) {
 	idle := len(f.VMs) > 0 && e.Reported(PhaseShift, f.VMs) == len(f.VMs) && e.others(f.VMs, r).Running == 0
-	if !idle || now.Before(r.Shifted().Add(plan.watch)) || f.Upstreams[r.Target].Usable == 0 {
+	watch := max(plan.watch, reactionTime+slowFactor*e.slowLatency(r))
+	if !idle || v.Suspect() || now.Before(r.Shifted().Add(watch)) || f.lacks(r.Target) {
 		return r, false
 	}
 	return r.end(now, StateComplete, "no attempt runs on the old versions"), true
@@ -136,7 +152,7 @@
 
 func (r Rollout) mayShift(now time.Time, plan schedule, v Verdict, e Evidence, f Fleet) bool {
 	target := f.Upstreams[r.Target]
-	if target.Usable == 0 || e.Total(nil, r.Target).Answers == 0 {
+	if f.lacks(r.Target) || e.Total(nil, r.Target).Answers == 0 {
 		return false
 	}
 	if !now.Before(plan.shiftLast) || !now.Before(plan.shiftBy) && !v.Suspect() {
