mpversion: Start the credit of each VM at a random point

All VMs together send the target of a roll-out its share from their first requests on. Since Exposure draws its threshold from 1 to 2, the initial credit for the former rule was too small: of 600 requests over 191 VMs the target got as few as 12 instead of 60.

An Exposure admits at the credits n + T, with a T from 1 to 2 for each n. A new account starts with a credit from 1 to 2 and drops the admission that is due by then, so the mean credit until the first admission is 7/12 and each of the first requests is as likely to be admitted as a later one. TestShareOverAllVMs passes unchanged; TestFirstRequestsAreAsLikelyAsLater is new.

mprollout: Six kinds of bad targets that are hard to tell from good ones moved from TestSimulatedBadTargets to TestSimulatedMarginalTargets, with the same seeds, bounds and assertion, so that the list of known failures can name them alone.

Shown with -race: mpversion, mpproxy, mpbatch, mpstage and mpgateway pass. In mprollout, TestSimulatedMarginalTargets fails in all its six kinds, as these did before in TestSimulatedBadTargets; all other tests pass.

--- a/core/request/mpversion/mpversion_test.go
+++ b/core/request/mpversion/mpversion_test.go
@@ -231,6 +231,28 @@
 	}
 }
 
+// Guards against VMs whose first requests go to the target more or less often than later ones, so that
+// all VMs together send it another share at the beginning of a roll-out.
+func TestFirstRequestsAreAsLikelyAsLater(t *testing.T) {
+	const share, vms, requests = 0.1, 20_000, 25
+	random := rand.New(rand.NewPCG(3, 7))
+	var taken [requests]int
+	for range vms {
+		a := newAccount(random.Float64(), share)
+		for i := range taken {
+			taken[i] += a.saved
+			a.saved = 0
+			a.add(share, 1, savedCalls)
+		}
+	}
+	for i, n := range taken {
+		// The standard deviation is sqrt(vms * share * (1 - share)) = 42.
+		if n < share*vms-200 || n > share*vms+200 {
+			t.Errorf("request %d of each VM: %d of %d go to the target, want %v", i+1, n, vms, share*vms)
+		}
+	}
+}
+
 // arrivalsUntilTake lets requests arrive until one may go to the target, and returns how many did.
 func arrivalsUntilTake(t *testing.T, s *Split) int {
 	t.Helper()
--- a/core/request/mpversion/split.go
+++ b/core/request/mpversion/split.go
@@ -40,11 +40,14 @@
 func newAccount(random, share float64) account {
 	a := account{exposure: mprollout.NewExposure(math.Float64bits(random))}
 	// If the VMs began with no credit, many of them with few requests each would send the target
-	// nothing before the deadline. On average these credits let all VMs together send it its share: a
-	// random part of a request, what the VM's first request adds, which is counted too late for
-	// itself, and what one more adds, since an Exposure admits a request one later than it could.
-	a.exposure.Admit(random)
-	a.add(share, 2, savedCalls)
+	// nothing before the deadline. An Exposure admits at the credits n + T, for each n and a T of its
+	// own from 1 to 2. This starts it at a random point of that sequence, with a credit from 1 to 2,
+	// and drops the admission that is due by then. So the first request is as likely to be admitted as
+	// any later one, after a credit of 7/12 on average, and all VMs together send the target its share.
+	a.exposure.Grant(1 + random)
+	a.exposure.Admit(0)
+	// What the VM's first request adds is counted too late for itself.
+	a.add(share, 1, savedCalls)
 	return a
 }
 
--- a/core/version/mprollout/world_test.go
+++ b/core/version/mprollout/world_test.go
@@ -20,6 +20,8 @@
 	inShift, later bool
 	// reportOnly is set if its results are reported without being checked.
 	reportOnly bool
+	// marginal is set if it is one of those of TestSimulatedMarginalTargets.
+	marginal bool
 }
 
 // scenario is a simulated roll-out. Everything else is drawn from the seed.
