mpproxy: Do not take a slow caller for a silent upstream

A caller that reads a resumable stream slowly no longer ends the attempt at its upstream, which was then avoided while the stream went on at another one.

Cause: the timer for a silent upstream went on while an event was written to the caller, for which nobody reads the upstream. It is put off now as long as the write lasts; the caller itself is cut off by mpingress if it reads nothing. The time is not counted as the upstream's.

--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -202,14 +202,15 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream, e.version = row.ID, row.Version
-	e.framing, e.tail, e.beganAt, e.isSound, e.roomWait = noBody, 0, time.Time{}, false, 0
+	e.framing, e.tail, e.beganAt, e.isSound, e.heldUp = noBody, 0, time.Time{}, false, 0
+	e.wasBlocked.Store(false)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
 	defer idleTimer.Stop()
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	now := e.p.cfg.Clock()
-	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt)-e.roomWait)
+	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, now.Sub(e.sentAt)-e.heldUp)
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
 		e.recordLoss(row, t)
@@ -245,7 +246,18 @@
 // nothing while another attempt is still allowed. If none is allowed, the timer does
 // not fire, since cancelling could not help.
 func (e *exchange) startIdleTimer(cancel func(), timeLeft time.Duration, last bool) *time.Timer {
-	return time.AfterFunc(e.idleTimeout(timeLeft, last), cancel)
+	var t *time.Timer
+	t = time.AfterFunc(neverTimeout, func() {
+		if e.isWriting.Load() {
+			// The caller reads slowly, and so nobody reads what the upstream sends.
+			e.wasBlocked.Store(true)
+			t.Reset(eventGapTimeout)
+			return
+		}
+		cancel()
+	})
+	t.Reset(e.idleTimeout(timeLeft, last))
+	return t
 }
 
 // idleTimeout returns how long an upstream may send nothing.
--- a/core/request/mpproxy/buffer.go
+++ b/core/request/mpproxy/buffer.go
@@ -132,7 +132,7 @@
 		start := b.e.p.cfg.Clock()
 		idleTimer.Reset(neverTimeout)
 		err = wait.Await(ctx, 0)
-		b.e.roomWait += b.e.p.cfg.Clock().Sub(start)
+		b.e.heldUp += b.e.p.cfg.Clock().Sub(start)
 		idleTimer.Reset(b.e.idleTimeout(b.e.timeLeft(), last))
 		if err != nil {
 			return errNoRoom
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -152,8 +152,11 @@
 	// and isSound is set once that attempt counts as answered without a crash.
 	beganAt time.Time
 	isSound bool
-	// roomWait is how long the response waited for room in memory, which is no fault of the upstream.
-	roomWait time.Duration
+	// heldUp is how long the response waited for room in memory, or for a caller that reads slowly.
+	heldUp time.Duration
+	// isWriting is set while an event is written to the caller, and wasBlocked once that took so long
+	// that the attempt would have been given up for its upstream's silence.
+	isWriting, wasBlocked atomic.Bool
 	// endTrial ends the trial as which the last attempt was sent, if it was one.
 	endTrial       func(lost bool)
 	stagesDuration time.Duration
--- a/core/request/mpproxy/stream.go
+++ b/core/request/mpproxy/stream.go
@@ -73,7 +73,7 @@
 			e.completeResponse(ctx)
 			e.recordSound()
 			return answered, mpselect.Succeeded, ""
-		case e.p.cfg.Clock().Sub(lastRead) >= eventGapTimeout:
+		case e.p.cfg.Clock().Sub(lastRead) >= eventGapTimeout && !e.wasBlocked.Load():
 			// A caller that leaves such a stream leaves because of the silence.
 			return failed, mpselect.Failed, "stream fell silent: " + err.Error()
 		default:
@@ -104,7 +104,12 @@
 		e.longestGap = max(e.longestGap, now.Sub(e.lastWrite))
 	}
 	e.lastWrite = now
+	e.isWriting.Store(true)
 	if _, err := e.w.Write(out); err == nil {
 		_ = flusher.Flush()
 	}
+	e.isWriting.Store(false)
+	if e.wasBlocked.Load() {
+		e.heldUp += e.p.cfg.Clock().Sub(now)
+	}
 }
