--- a/core/process/mphttp/limits_test.go
+++ b/core/process/mphttp/limits_test.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// pending returns how many bytes the engine keeps for one client at most.
+func (l *limited) pending() (most int64) {
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	for sess := range l.server.sessions {
+		most = max(most, sess.output.pending())
+	}
+	return most
+}
+
 // checkReleased checks that nothing is reserved once all connections are closed.
 func (l *limited) checkReleased(clients ...*client) {
 	l.t.Helper()
@@ -142,6 +152,7 @@
 	third := l.dial()
 	third.send(short("xyz"))
 	l.eventually("the third body is held", func() bool { return l.memory.Stats().Used > 2*ConnectionBytes })
+	l.eventually("all responses are flushed", func() bool { return l.pending() == 0 })
 	l.server.checkStalled(time.Now().Add(mpmemory.StallTimeout - time.Second))
 	l.server.checkStalled(time.Now().Add(mpmemory.StallTimeout))
 	third.check(408, "", false)
@@ -235,16 +246,8 @@
 	})
 	c := l.dial()
 	c.send(post("xyz"))
-	pending := func() (most int64) {
-		l.server.mu.Lock()
-		defer l.server.mu.Unlock()
-		for sess := range l.server.sessions {
-			most = max(most, sess.output.pending())
-		}
-		return most
-	}
-	l.eventually("a response is pending", func() bool { return pending() > maxPendingBytes })
-	if got := pending(); got > 2*maxPendingBytes {
+	l.eventually("a response is pending", func() bool { return l.pending() > maxPendingBytes })
+	if got := l.pending(); got > 2*maxPendingBytes {
 		t.Errorf("%d bytes of a response are kept", got)
 	}
 	l.server.checkStalled(time.Now().Add(mpmemory.StallTimeout))
--- a/core/process/mphttp/mphttp.go
+++ b/core/process/mphttp/mphttp.go
@@ -205,13 +205,9 @@
 			return nil, err
 		}
 		sess := &session{s: l.s, address: mpmemory.AddressOf(c.RemoteAddr())}
-		now := time.Now()
-		if sess.held, err = l.s.cfg.Memory.Open(now, sess.address, sess); err == nil {
-			if err = sess.charge(now); err == nil {
-				l.s.accepted = sess
-				return c, nil
-			}
-			sess.held.Close()
+		if sess.open(time.Now()) {
+			l.s.accepted = sess
+			return c, nil
 		}
 		_ = c.Close()
 	}
--- a/core/process/mphttp/session.go
+++ b/core/process/mphttp/session.go
@@ -60,10 +60,21 @@
 
 var _ mpmemory.Ender = (*session)(nil)
 
-// charge draws the cost of the connection on the budget.
-func (c *session) charge(now time.Time) error {
-	w, err := c.held.Grow(now, ConnectionBytes)
-	return settle(now, w, err)
+// open draws the connection and its cost on the budget, and reports whether there is place and room.
+func (c *session) open(now time.Time) bool {
+	c.mu.Lock() // The connection may be ended for another one at once.
+	held, err := c.s.cfg.Memory.Open(now, c.address, c)
+	c.held = held
+	c.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	w, err := held.Grow(now, ConnectionBytes)
+	if settle(now, w, err) != nil {
+		held.Close()
+		return false
+	}
+	return true
 }
 
 // receive parses data if there is room for it.
