--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -208,7 +208,8 @@
 	e.sends++
 	e.sentAt = e.p.cfg.Clock()
 	e.upstream, e.version = row.ID, row.Version
-	e.framing, e.tail, e.beganAt, e.isSound, e.isLost, e.roomWait, e.pace = noBody, 0, time.Time{}, false, false, 0, 0
+	e.framing, e.tail, e.beganAt, e.isSound, e.isLost, e.heldUp, e.pace = noBody, 0, time.Time{}, false, false, 0, 0
+	e.wasBlocked.Store(false)
 	e.beginCount(row)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -234,12 +235,12 @@
 }
 
 // workTime returns how long the upstream took for the request, or 0 if it did not do its work:
-// failures are often answered at once. The wait for room in this VM's memory is no work.
+// failures are often answered at once. What this VM held up is not its work.
 func (e *exchange) workTime(now time.Time, result attemptResult) time.Duration {
 	if result != answered || e.status >= http.StatusInternalServerError {
 		return 0
 	}
-	return now.Sub(e.sentAt) - e.roomWait
+	return now.Sub(e.sentAt) - e.heldUp
 }
 
 // logAttempt logs an attempt that did not answer the request, and any change in the
@@ -264,7 +265,18 @@
 // nothing while another attempt is still allowed. If none is allowed, the timer does
 // not fire, since cancelling could not help.
 func (e *exchange) startIdleTimer(cancel func(), timeLeft time.Duration, last bool) *time.Timer {
-	return time.AfterFunc(e.idleTimeout(timeLeft, last), cancel)
+	var t *time.Timer
+	t = time.AfterFunc(neverTimeout, func() {
+		if e.isWriting.Load() {
+			// The caller reads slowly, and so nobody reads what the upstream sends.
+			e.wasBlocked.Store(true)
+			t.Reset(eventGapTimeout)
+			return
+		}
+		cancel()
+	})
+	t.Reset(e.idleTimeout(timeLeft, last))
+	return t
 }
 
 // idleTimeout returns how long an upstream may send nothing.
