mpmemory, mpingress, mphttp: End a client's own requests first, and release before refusing

A client that holds more than its share no longer ends another's request when the whole budget is short too: its own end first, which makes the room. A connection whose head is refused releases what it held before it writes the refusal, which a client may not read. A bound on connections may be passed by 16 while those that were told to end close, also if it is small. In mphttp the refusal of a request that did not arrive whole takes its place behind earlier responses in the queue of the connection.

--- a/core/process/mphttp/session.go
+++ b/core/process/mphttp/session.go
@@ -51,10 +51,8 @@
 	isOversized bool
 	// requests holds the requests that run or wait for their turn, in order.
 	requests []wholeRequest
-	// isRejected is set once nothing more is parsed. status is the answer to the request that was
-	// arriving, or 0 if there was none.
+	// isRejected is set once nothing more is parsed, because of err.
 	isRejected bool
-	status     int
 	err        error
 }
 
@@ -178,16 +176,18 @@
 func (c *session) finish(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cost := c.requests[0].cost
+	req := c.requests[0]
 	c.requests = c.requests[1:]
 	switch {
 	case len(c.requests) > 0:
-		c.held.Release(cost)
+		c.held.Release(req.cost)
 	case c.isRejected:
 		c.held.Release(math.MaxInt64)
-		c.answer()
+		if req.isRefused {
+			c.answer(0) // It has its answer.
+		}
 	case c.arriving > 0 || c.isReserving:
-		c.held.Restart(now, cost)
+		c.held.Restart(now, req.cost)
 	default:
 		c.held.Finish(now)
 	}
@@ -204,8 +204,8 @@
 	c.rejectLocked(status, mpmemory.ErrEnded)
 }
 
-// reject drops all further data and closes the connection. The request that arrives, if any, is answered
-// with status.
+// reject drops all further data and closes the connection. The request that arrives is answered with status;
+// 0 stands for none.
 func (c *session) reject(status int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -216,29 +216,28 @@
 	if c.isRejected {
 		return
 	}
-	c.isRejected, c.status, c.err = true, status, err
+	c.isRejected, c.err = true, err
 	if c.conn == nil {
 		c.held.Release(math.MaxInt64)
 		return // The engine has not opened it yet; onOpen closes it.
 	}
 	c.CloseAndClean(err)
-	switch {
-	case len(c.requests) > 0:
-		// The client would take the answer for that of a request which runs. It gets it after them.
+	if len(c.requests) > 0 {
 		c.held.Release(c.arriving)
-	case status == 0:
+	} else {
 		c.held.Release(math.MaxInt64)
+	}
+	if status == 0 {
 		_ = c.conn.CloseWithError(err)
-	default:
-		c.held.Release(math.MaxInt64)
-		c.answer()
+		return
 	}
+	c.answer(status)
 }
 
-// answer writes the answer to the request that was arriving, if any, after all responses before it. It
-// closes the connection after rejectionLinger. The caller holds c.mu.
-func (c *session) answer() {
-	status := c.status
+// answer writes the answer to the request that was arriving, unless status is 0, and closes the connection
+// after rejectionLinger. It is written after all responses to requests before, since the client would take it
+// for the answer to one that runs. The caller holds c.mu.
+func (c *session) answer(status int) {
 	c.conn.Execute(func() {
 		if status != 0 {
 			_, _ = c.output.write(c.s.errorResponse(status))
--- a/core/process/mpingress/conn.go
+++ b/core/process/mpingress/conn.go
@@ -202,6 +202,7 @@
 func (c *conn) refuseRaw() error {
 	if !c.refused {
 		c.refused = true
+		c.held.Release(math.MaxInt64) // Others may wait for it, and the client may not read.
 		c.linger()
 		_, _ = c.Write([]byte(rawRefusal))
 	}
--- a/core/process/mpingress/mpingress_test.go
+++ b/core/process/mpingress/mpingress_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -196,6 +197,7 @@
 		"too long, as announced":       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1048577\r\n\r\n", 0, 413, mpmemory.Oversized},
 		"too long, in one chunk":       {chunked(large, len(large)), 0, 413, mpmemory.Oversized},
 		"too long, in chunks":          {chunked(large, 1000), 0, 413, mpmemory.Oversized},
+		"too long, and stalls":         {chunkedHead + "200000\r\n" + large, 0, 413, mpmemory.Oversized},
 		"a byte short":                 {strings.TrimSuffix(post("xyz"), "z"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
 		"a chunk short":                {strings.TrimSuffix(chunked("xyz", 2), "0\r\n\r\n"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
 		"short of the last line":       {strings.TrimSuffix(chunked("xyz", 2), "\r\n"), mpmemory.StallTimeout, 408, mpmemory.Stalled},
@@ -373,6 +375,18 @@
 		arriving.checkClosed(time.Second)
 		running.check(ok(0))
 	})
+	t.Run("of one that is ended", func(t *testing.T) {
+		run(t, 8*ConnectionBytes, 0, func(f *fixture) {
+			stalled := f.dial()
+			stalled.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 12<<10))
+			time.Sleep(time.Second)
+			c := f.dial()
+			c.send(post(strings.Repeat("x", 40<<10)))
+			c.check(ok(40 << 10))
+			stalled.check(outOfMemory)
+			stalled.checkClosed(time.Second)
+		})
+	})
 }
 
 // Guards against a client that reads nothing of a response and holds it, and its upstream, for ever.
@@ -404,6 +418,35 @@
 	})
 }
 
+// Guards against a client that is cut off for a deadline which was set for an earlier part of the response.
+func TestWriteDeadlineCountsFromTheWrite(t *testing.T) {
+	run(t, 4<<20, 0, func(f *fixture) {
+		const pause = mpmemory.StallTimeout/renewShare - time.Millisecond
+		f.afterBody = func(w http.ResponseWriter, _ *http.Request) {
+			for range 2 {
+				_, _ = w.Write(make([]byte, 8<<10))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(pause)
+			}
+		}
+		c := f.dial()
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		for range 2 {
+			// Reads what there is, and then nothing until almost the stall timeout after the second write.
+			_ = c.SetReadDeadline(time.Now().Add(time.Second))
+			if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("cut off: %v", err)
+			}
+			time.Sleep(pause + mpmemory.StallTimeout - 1010*time.Millisecond)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+		_, _ = io.Copy(io.Discard, c.reader)
+		if len(f.events) > 0 {
+			t.Errorf("events %v, although the client read all in time", f.events)
+		}
+	})
+}
+
 // Guards against connections without end, and against refusing one while others are idle.
 func TestConnectionsAreBounded(t *testing.T) {
 	run(t, 4<<20, 4, func(f *fixture) {
--- a/core/process/mpmemory/connection.go
+++ b/core/process/mpmemory/connection.go
@@ -41,7 +41,7 @@
 	if !s.isFull() {
 		return nil, true
 	}
-	if s.open > s.maxOpen+s.maxOpen/closingShare {
+	if s.open >= s.maxOpen+max(s.maxOpen/closingShare, minClosing) {
 		return nil, false
 	}
 	var victim *Connection
--- a/core/process/mpmemory/grow.go
+++ b/core/process/mpmemory/grow.go
@@ -134,7 +134,8 @@
 			v.isSelected = false
 		}
 	}()
-	for _, s := range c.scopes {
+	// The narrow scopes come first, so that a client which holds too much does not end another's requests.
+	for _, s := range slices.Backward(c.scopes) {
 		short := s.shortage(n)
 		for _, v := range victims {
 			if v.isIn(s) {
--- a/core/process/mpmemory/mpmemory.go
+++ b/core/process/mpmemory/mpmemory.go
@@ -29,8 +29,10 @@
 	// ownerShare is the share of a budget that one client address or one account may hold.
 	ownerShare = 2
 	// closingShare is the share of the bound on connections by which it may be passed while connections
-	// that were told to end have not closed yet: a client has half a second to read why.
+	// that were told to end have not closed yet: a client has half a second to read why. It may always
+	// be passed by minClosing.
 	closingShare = 2
+	minClosing   = 16
 	// fullRate is the rate in bytes per second at which a request that arrives does not get late. It
 	// is about that of a VM's link, so that of clients that share the link the ones that came first
 	// are the latest.
--- a/core/process/mpmemory/mpmemory_test.go
+++ b/core/process/mpmemory/mpmemory_test.go
@@ -173,6 +173,13 @@
 			},
 			address: "b", n: 150, decision: "waits", ended: []string{"0"},
 		},
+		"only the client's own, although there is no room either way": {
+			others: []arrival{
+				{address: "b", held: 400, started: time.Second, quiet: time.Second, received: 1 << 20},
+				{address: "c", held: 490, started: time.Minute, quiet: time.Minute},
+			},
+			address: "b", n: 150, decision: "waits", ended: []string{"0"},
+		},
 		"nobody, since the client's others run": {
 			others: []arrival{
 				{address: "b", held: 400, isRunning: true}, {address: "c", held: 100, started: time.Minute, quiet: time.Minute},
