--- a/core/process/mpdaemon/mpdaemon.go
+++ b/core/process/mpdaemon/mpdaemon.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"math"
 	"math/rand/v2"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -44,6 +45,9 @@
 	baselineRetryRatio   = 4.0
 	maxOperatorBodyBytes = 16 << 20
 	noteCommitTimeout    = 5 * time.Second
+	// softLimitFactor times the budget of clients is the soft limit of the Go runtime, above which garbage is
+	// collected more often. A process needs about as much as the budget for everything else.
+	softLimitFactor = 2
 )
 
 // Config configures a Daemon.
@@ -83,6 +87,7 @@
 		voterService: &mpconsensus.Service{IsVoter: s.IsVoter()},
 	}
 	d.memory = d.newBudget()
+	debug.SetMemoryLimit(softLimitFactor * s.MemoryBytes())
 	d.client = mppeer.NewClient(mppeer.Config{Secret: s.Secret, LocalIP: s.LocalIP(), Metrics: d.metrics, Logger: cfg.Logger})
 	d.member = mpmember.New(mpmember.Config{
 		Self:   mpview.VM{Name: s.VM, DC: s.DC, Boot: d.boot, Address: s.CallerAddress, Peer: s.PeerAddress},
