mpbatch, mpstage: Wait for fast upstreams, and for calls that are slow for a moment

Pieces went to any idle upstream, however slow, and calls that turned slow were made again: 2 in 100 pieces at upstreams that take 2.5 times as long for 600 ms, although the first call nearly always ended sooner than the second one.

Pieces now wait for a busy upstream if a call that starts there after the running one ends 1.4 times sooner than one at the best idle upstream; they reserve places in that call, and the others go to the idle upstream. A late call is not waited for, since it may be lost. At upstreams that report their speed a call is overdue only after the longest time by which a slow moment delays it. Answers to orders to free results are read for reports too: they come between the answers to calls.

Shown by the tests of mpspeed, mpbatch, mpstage and mpadapter with -race.

--- a/core/process/mpstage/burst_test.go
+++ b/core/process/mpstage/burst_test.go
@@ -19,6 +19,7 @@
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpnotice"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 	"mustardpost.org/core/version/mpview"
@@ -76,11 +77,11 @@
 
 func (c *sentCounter) CloseIdle() {}
 
-func (c *sentCounter) Free(_ context.Context, _ string, handles []string) error {
+func (c *sentCounter) Free(_ context.Context, _ string, handles []string) (mpspeed.Load, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.freed = append(c.freed, handles...)
-	return nil
+	return mpspeed.Load{}, nil
 }
 
 // results returns the results that this VM made and freed, each sorted.
--- a/core/process/mpstage/owner.go
+++ b/core/process/mpstage/owner.go
@@ -46,8 +46,9 @@
 	Run(ctx context.Context, now time.Time, call mpbatch.Call) mpbatch.Outcome
 	// AddressOf returns the address of the upstream that holds a result.
 	AddressOf(handle string) string
-	// Free tells the upstream at address to free the given results.
-	Free(ctx context.Context, address string, handles []string) error
+	// Free tells the upstream at address to free the given results. It returns what the answer
+	// says of the upstream's load and speed.
+	Free(ctx context.Context, address string, handles []string) (mpspeed.Load, error)
 	// CloseIdle closes the connections that no call uses.
 	CloseIdle()
 }
@@ -369,13 +370,24 @@
 
 // withholdsFrees reports whether the upstream at address is not told which results to free.
 func (q *shardQueue) withholdsFrees(address string) bool {
+	return slices.ContainsFunc(q.rowsAt(address), func(r mplist.Row) bool {
+		_, ok := q.owner.cfg.Quotas.Rate(r.ID)
+		return ok || q.owner.cfg.Notices.Wait(q.owner.cfg.Clock(), r.ID) > 0
+	})
+}
+
+// rowsAt returns the upstreams of the pool that are listed at address.
+func (q *shardQueue) rowsAt(address string) []mplist.Row {
 	q.owner.mu.Lock()
 	rows := q.owner.usable.Rows(q.shard.pool)
 	q.owner.mu.Unlock()
-	return slices.ContainsFunc(rows, func(r mplist.Row) bool {
-		_, ok := q.owner.cfg.Quotas.Rate(r.ID)
-		return r.Address == address && (ok || q.owner.cfg.Notices.Wait(q.owner.cfg.Clock(), r.ID) > 0)
-	})
+	var out []mplist.Row
+	for _, r := range rows {
+		if r.Address == address {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // freeResults tells one upstream to free results. If that fails, they count as used
@@ -384,10 +396,15 @@
 func (q *shardQueue) freeResults(address string, handles []string) {
 	ctx, cancel := context.WithTimeout(q.owner.ctx, freeTimeout)
 	defer cancel()
-	if err := q.owner.cfg.Client.Free(ctx, address, handles); err != nil {
+	load, err := q.owner.cfg.Client.Free(ctx, address, handles)
+	if err != nil {
 		_ = level.Warn(q.owner.cfg.Logger).Log("msg", "results not freed", "pool", q.shard.pool, "maker", address, "results", len(handles), "err", err)
 		return
 	}
+	load.Count(q.owner.cfg.Metrics.Add)
+	for _, r := range q.rowsAt(address) {
+		q.owner.speed.Record(q.owner.cfg.Clock(), r.ID, load)
+	}
 	q.mu.Lock()
 	q.batcher.ConfirmFreed(handles)
 	q.mu.Unlock()
--- a/core/process/mpstage/owner_test.go
+++ b/core/process/mpstage/owner_test.go
@@ -1,6 +1,7 @@
 package mpstage
 
 import (
+	stdcmp "cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -16,6 +17,7 @@
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/request/mpnotice"
 	"mustardpost.org/core/request/mpquota"
+	"mustardpost.org/core/request/mpspeed"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
@@ -30,15 +32,19 @@
 	// unresponsive is an upstream that runs calls but does not answer when told to free
 	// results.
 	unresponsive string
+	// callLoad and freeLoad are what answers to calls and to orders to free results say.
+	callLoad, freeLoad mpspeed.Load
+	// addresses maps the upstreams whose handles do not begin with their ID to their address.
+	addresses map[string]string
 }
 
 var _ BatchClient = (*fakeClient)(nil)
 
 func (f *fakeClient) Run(_ context.Context, _ time.Time, c mpbatch.Call) mpbatch.Outcome {
-	<-time.After(c.Expected)
+	<-time.After(time.Duration(float64(c.Expected) * stdcmp.Or(f.callLoad.Percent, 100) / 100))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out mpbatch.Outcome
+	out := mpbatch.Outcome{Load: f.callLoad}
 	for _, it := range c.Items {
 		out.Items = append(out.Items, f.runItem(c.Upstream.ID, it))
 	}
@@ -59,21 +65,24 @@
 	return mpbatch.ItemOutcome{Handle: fmt.Sprintf("%s@%s-%d-%d", at, it.Request, it.Stage, f.made)}
 }
 
-func (f *fakeClient) AddressOf(handle string) string { return strings.SplitN(handle, "@", 2)[0] }
+func (f *fakeClient) AddressOf(handle string) string {
+	at := strings.SplitN(handle, "@", 2)[0]
+	return stdcmp.Or(f.addresses[at], at)
+}
 
 func (f *fakeClient) CloseIdle() {}
 
-func (f *fakeClient) Free(ctx context.Context, at string, handles []string) error {
+func (f *fakeClient) Free(ctx context.Context, at string, handles []string) (mpspeed.Load, error) {
 	if at == f.unresponsive {
 		<-ctx.Done()
-		return ctx.Err()
+		return mpspeed.Load{}, ctx.Err()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range handles {
 		f.freed[h] = true
 	}
-	return nil
+	return f.freeLoad, nil
 }
 
 // newTwoStageOwner returns an Owner of two pools. The results of one request nearly
@@ -256,3 +265,38 @@
 		}
 	})
 }
+
+// Guards against figures of speed that are read and not used: those in the answers to calls, and
+// those in the answers to orders to free results, which come while the upstream runs other calls.
+func TestOwnerLearnsSpeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := &fakeClient{
+			freed: map[string]bool{}, addresses: map[string]string{"u2": "127.0.0.1:2"},
+			callLoad: mpspeed.Load{Percent: 250}, freeLoad: mpspeed.Load{Percent: 100, Skipped: 3},
+		}
+		o := newTwoStageOwner(ctx, t, m)
+		made, err := o.Make(ctx, whole("second"), newSpec(time.Now(), 0, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		slow := o.speed.Factor(time.Now(), "u2")
+		if slow < 1.5 {
+			t.Errorf("factor %v after a call whose answer says 250 %%, want at least 1.5", slow)
+		}
+		o.Free(whole("second"), []string{made[0].Handle})
+		<-time.After(2 * freeInterval)
+		if got := o.speed.Factor(time.Now(), "u2"); got > 1.2 {
+			t.Errorf("factor %v after an answer that says 100 %%, want at most 1.2", got)
+		}
+		if _, greatest := o.SpeedRange(time.Now()); greatest > 1.2 {
+			t.Errorf("greatest factor %v, want at most 1.2", greatest)
+		}
+		for name, want := range map[string]int64{"speed.reports": 2, "speed.skipped": 3, "speed.absent": 0} {
+			if diff := cmp.Diff(want, o.cfg.Metrics.Count(name)); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", name, diff)
+			}
+		}
+	})
+}
--- a/core/request/mpbatch/batcher.go
+++ b/core/request/mpbatch/batcher.go
@@ -231,7 +231,7 @@
 	}
 	for _, c := range b.activeCalls {
 		if !c.duplicated {
-			consider(c.overdueAt())
+			consider(b.overdueAt(c))
 		}
 	}
 	for _, j := range b.queue {
--- a/core/request/mpbatch/place.go
+++ b/core/request/mpbatch/place.go
@@ -15,13 +15,20 @@
 	// clearRatio is the ratio of two expected durations from which they count as different. The
 	// factors of upstreams that are equally fast differ by less.
 	clearRatio = 1.15
+	// waitRatio is by how much sooner a call to a busy upstream must end for pieces to wait for it
+	// beside an idle one. In virtual time with three speeds and a sixth of the upstreams slow for
+	// moments, pieces took longest at 1.15, where calls wait to save little, and without waiting.
+	waitRatio = 1.4
+	// lateRatio is the time that a call has run, divided by its expected duration, from which on no
+	// pieces wait for its end.
+	lateRatio = 1.1
 )
 
 // duplicateOverdue queues the unfinished pieces of overdue calls again, so that other
 // upstreams make them as well, within the duplicate budget.
 func (b *Batcher) duplicateOverdue(now time.Time) {
 	for _, c := range b.activeCalls {
-		if c.duplicated || now.Before(c.overdueAt()) || b.duplicateBudget < float64(len(c.jobs)) {
+		if c.duplicated || now.Before(b.overdueAt(c)) || b.duplicateBudget < float64(len(c.jobs)) {
 			continue
 		}
 		c.duplicated = true
@@ -58,7 +65,7 @@
 			idle = s
 		}
 	}
-	if idle == nil || idle.upstream.DC != j.preferredDC() && b.shouldAwaitPreferredDC(now, j) {
+	if idle == nil || idle.upstream.DC != j.preferredDC() && b.shouldAwaitPreferredDC(now, j) || b.shouldAwaitFaster(now, idle, j) {
 		return nil
 	}
 	b.lastCallID++
@@ -93,6 +100,40 @@
 	return false
 }
 
+// shouldAwaitFaster reports whether the next pieces of j should wait for a busy upstream, since a
+// call that starts there when the running one has ended would end clearly sooner than one that
+// starts now at idle. The pieces reserve places in that call, so that slow upstreams get the
+// pieces for which the fast ones have no room soon enough.
+func (b *Batcher) shouldAwaitFaster(now time.Time, idle *upstreamState, j *Job) bool {
+	pieces := j.waiting()
+	end := b.callDuration(now, idle, pieces)
+	var best *upstreamState
+	for _, s := range b.upstreams {
+		if s.call == nil || !s.listed || s.call.duplicated || b.reserved[s.upstream.ID]+pieces > b.cfg.Spec.MaxPieces || !b.hasMemory(now, s, j) {
+			continue
+		}
+		if s.upstream.DC != j.preferredDC() && idle.upstream.DC == j.preferredDC() {
+			continue
+		}
+		running := s.call.remaining(now)
+		switch {
+		case s.call.call.Expected == 0: // The call starts now.
+			running = b.callDuration(now, s, len(s.call.jobs))
+		case float64(now.Sub(s.call.started)) > lateRatio*float64(s.call.call.Expected):
+			continue // The call may be lost.
+		}
+		wait := max(running, s.deferredUntil.Sub(now))
+		if other := wait + b.callDuration(now.Add(wait), s, b.reserved[s.upstream.ID]+pieces); float64(other)*waitRatio < float64(end) {
+			best, end = s, other
+		}
+	}
+	if best == nil {
+		return false
+	}
+	b.reserved[best.upstream.ID] += pieces
+	return true
+}
+
 // hasMemory reports whether s has memory for one more result of j. An upstream without
 // results accepts any size, so that a result larger than the whole memory is still
 // tried. A job that exceeds the shares of all upstreams together may fill their
--- a/core/request/mpbatch/types.go
+++ b/core/request/mpbatch/types.go
@@ -252,3 +252,14 @@
 	}
 	return cmp.Or(cmp.Compare(j.spec.Priority, o.spec.Priority), cmp.Compare(j.seq, o.seq))
 }
+
+// waiting returns the number of pieces that wait for a call.
+func (j *Job) waiting() int {
+	n := 0
+	for _, p := range j.pieces {
+		if isWaiting(p) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/request/mpbatch/upstream.go
+++ b/core/request/mpbatch/upstream.go
@@ -7,6 +7,11 @@
 	// overdueSlack.
 	overdueFactor = 1.7
 	overdueSlack  = 120 * time.Millisecond
+	// Upstreams that report their speed are up to passingSlowdown times slower for up to
+	// passingDuration at a time. A call that turned slow ends sooner than one that is made again
+	// elsewhere once it is overdue, so that it is not overdue before that time.
+	passingSlowdown = 2.5
+	passingDuration = 600 * time.Millisecond
 	// A call times out after timeoutFactor times its expected duration plus
 	// timeoutSlack.
 	timeoutFactor = 5
@@ -67,9 +72,14 @@
 	return max(c.started.Add(c.call.Expected).Sub(now), 0)
 }
 
-// overdueAt returns when the call becomes overdue.
-func (c *activeCall) overdueAt() time.Time {
-	return c.started.Add(time.Duration(overdueFactor*float64(c.call.Expected)) + overdueSlack)
+// overdueAt returns when a call becomes overdue.
+func (b *Batcher) overdueAt(c *activeCall) time.Time {
+	expected := float64(c.call.Expected)
+	after := overdueFactor * expected
+	if _, ok := b.cfg.Speed.Age(c.started, c.call.Upstream.ID); ok {
+		after = max(after, expected+min((passingSlowdown-1)*expected, (1-1/passingSlowdown)*float64(passingDuration)))
+	}
+	return c.started.Add(time.Duration(after) + overdueSlack)
 }
 
 func (s *upstreamState) isIdle(now time.Time) bool {
--- a/core/request/mpspeed/level.go
+++ b/core/request/mpspeed/level.go
@@ -13,7 +13,7 @@
 	// in which an upstream is slow for a moment move its level little.
 	maxDeviation = 0.7
 	// windowWeight is the weight of the newest window once there are some. The first windows weigh
-	// more, as in a mean that starts with one window at the usual speed.
+	// more, as in a mean.
 	windowWeight = 0.1
 	// From the third consecutive window on that deviates by a factor of at least e^streakDeviation
 	// in one direction, the level has changed: the weight grows, up to streakWeight.
@@ -28,6 +28,8 @@
 
 // level is the long-term mean of the logarithm of a factor.
 type level struct {
+	// prior is the number of windows that the usual speed counts as in the mean.
+	prior   float64
 	value   float64
 	windows int
 	// streak counts the consecutive windows that deviate in one direction. It is negative for
@@ -75,7 +77,7 @@
 		return l.value, 0
 	}
 	deviation = l.sum/float64(l.count) - l.value
-	weight := max(1/float64(l.windows+2), windowWeight)
+	weight := max(1/(float64(l.windows)+1+l.prior), windowWeight)
 	if length := l.streak; deviation > 0 && length >= streakStart || deviation < 0 && -length >= streakStart {
 		weight = max(weight, min(windowWeight*math.Abs(float64(length+sign(length))), streakWeight))
 	}
@@ -95,5 +97,9 @@
 	if value == 0 {
 		return 0
 	}
-	return value * math.Exp(-max(now.Sub(l.sampledAt)-forgetAfter, 0).Seconds()/forgetDuration.Seconds())
+	age := now.Sub(l.sampledAt)
+	if age <= forgetAfter {
+		return value
+	}
+	return value * math.Exp(-(age-forgetAfter).Seconds()/forgetDuration.Seconds())
 }
--- a/core/request/mpspeed/mpspeed.go
+++ b/core/request/mpspeed/mpspeed.go
@@ -23,6 +23,9 @@
 	stableRatio = 1.2
 	// maxFactor bounds the factors, in both directions.
 	maxFactor = 16.0
+	// reportPrior is the number of windows that 100 % counts as in the mean of an upstream's
+	// reports, which is 100 % unless they include its long-term factor.
+	reportPrior = 4
 	// retention is how long what is known of an upstream that is not listed is kept.
 	retention = time.Minute
 )
@@ -63,7 +66,7 @@
 func (b *Board) state(now time.Time, id string) *state {
 	s, ok := b.states[id]
 	if !ok {
-		s = &state{}
+		s = &state{took: level{prior: 1 - b.cfg.ResponseWeight}, usual: level{prior: reportPrior}}
 		b.states[id] = s
 	}
 	s.lastUsed = now
