--- a/core/request/mpbatch/target_test.go
+++ b/core/request/mpbatch/target_test.go
@@ -43,8 +43,8 @@
 	return m, split
 }
 
-// checkCalls checks the upstreams of the calls so far, and their numbers of pieces.
-func checkCalls(t *testing.T, m *sim, want map[string]int) {
+// checkPieces checks the upstreams of the calls so far, and their numbers of pieces.
+func checkPieces(t *testing.T, m *sim, want map[string]int) {
 	t.Helper()
 	got := map[string]int{}
 	for _, c := range m.started {
@@ -63,28 +63,28 @@
 		m, _ := newTrial(t, 4)
 		m.add(JobSpec{Request: "r", Count: 4}, later)
 		m.add(JobSpec{Request: "s", Count: 4}, later)
-		checkCalls(t, m, map[string]int{"u1": 4, "u2": 4})
+		checkPieces(t, m, map[string]int{"u1": 4, "u2": 4})
 	})
 	t.Run("a job has more pieces than the share admits", func(t *testing.T) {
 		m, _ := newTrial(t, 4)
 		m.add(JobSpec{Request: "r", Count: 5}, later)
-		checkCalls(t, m, map[string]int{"u1": 5})
+		checkPieces(t, m, map[string]int{"u1": 5})
 	})
 	t.Run("a job has more pieces than a call", func(t *testing.T) {
 		m, _ := newTrial(t, 8)
 		m.add(JobSpec{Request: "r", Count: 11}, later)
-		checkCalls(t, m, map[string]int{"u1": 3, "u2": 8})
+		checkPieces(t, m, map[string]int{"u1": 3, "u2": 8})
 	})
 	t.Run("results far from their readers", func(t *testing.T) {
 		m, _ := newTrial(t, 4)
 		m.add(JobSpec{Request: "r", Count: 4, DC: "b", CrossDCBytes: largeTransferBytes}, later)
-		checkCalls(t, m, map[string]int{"u1": 4})
+		checkPieces(t, m, map[string]int{"u1": 4})
 	})
 	t.Run("no memory for all results", func(t *testing.T) {
 		m, split := newTrial(t, 4)
 		m.batcher.cfg.Spec.ResultMemoryBytes = 2000
 		m.add(JobSpec{Request: "r", Count: 4, ResultBytes: 1000}, later)
-		checkCalls(t, m, map[string]int{"u1": 2, "u2": 2})
+		checkPieces(t, m, map[string]int{"u1": 2, "u2": 2})
 		if split.Take(1) {
 			t.Error("the share admits a second call")
 		}
@@ -108,7 +108,7 @@
 		m.step()
 		m.run(300 * time.Millisecond)
 		checkDone(t, j, true)
-		checkCalls(t, m, map[string]int{"u1": 4, "u2": 4})
+		checkPieces(t, m, map[string]int{"u1": 4, "u2": 4})
 	})
 	t.Run("a call that failed", func(t *testing.T) {
 		m, split := newTrial(t, 4)
@@ -117,7 +117,7 @@
 		split.Return(4) // The share admits one more call.
 		m.now = m.now.Add(time.Second)
 		m.step()
-		checkCalls(t, m, map[string]int{"u1": 4, "u2": 4})
+		checkPieces(t, m, map[string]int{"u1": 4, "u2": 4})
 	})
 	t.Run("waits are those for the upstreams that get calls", func(t *testing.T) {
 		m, _ := newTrial(t, 1)
