--- a/core/request/mpselect/latency.go
+++ b/core/request/mpselect/latency.go
@@ -26,19 +26,18 @@
 
 // kindState is what is known of the requests of one kind.
 type kindState struct {
-	// log is the mean logarithm of the latency in nanoseconds at an upstream of the usual speed
-	// where nothing waits.
+	// log is the mean logarithm of the latency in nanoseconds at an upstream of the usual speed.
 	log      float64
 	samples  int
 	lastUsed time.Time
 }
 
-// expected returns the latency at an upstream of the usual speed where nothing waits.
+// expected returns the latency at an upstream of the usual speed.
 func (k *kindState) expected() time.Duration {
 	if k == nil || k.samples == 0 {
 		return initialLatency
 	}
-	return time.Duration(math.Exp(k.log))
+	return time.Duration(math.Round(math.Exp(k.log)))
 }
 
 // Report records what an answer says of the load and the speed of its upstream.
@@ -64,7 +63,8 @@
 	best, lowestCost := list[0], math.Inf(1)
 	for _, c := range list {
 		st := s.state(c.Row.ID)
-		queue := 1 + (float64(st.inFlight)+st.othersAt(now, mean))/float64(max(c.Row.Slots, 1))
+		slots := float64(max(c.Row.Slots, 1))
+		queue := 1 + (float64(st.inFlight)+st.othersAt(now, mean, slots))/slots
 		cost := float64(s.speed.Duration(now, c.Row.ID, time.Duration(queue*expected)))
 		if c.Row.DC != info.DC {
 			cost += float64(remoteDCPenalty)
@@ -97,10 +97,14 @@
 }
 
 // othersAt returns the expected number of requests of other VMs at an upstream: what it reported,
-// which approaches the mean of all upstreams as the report ages.
-func (st *upstreamState) othersAt(now time.Time, mean float64) float64 {
+// which approaches the mean of all upstreams as the report ages. Nothing is expected to wait at an
+// upstream that has not reported lately, so that it is tried when much waits at the others.
+func (st *upstreamState) othersAt(now time.Time, mean, slots float64) float64 {
+	if !st.hasReported(now) {
+		return min(mean, slots)
+	}
 	age := now.Sub(st.reportedAt)
-	if !st.hasReported(now) || age >= loadRetention {
+	if age >= loadRetention {
 		return mean
 	}
 	return mean + (st.others-mean)*(1-float64(max(age, 0))/float64(loadRetention))
@@ -118,13 +122,9 @@
 		s.kinds[info.Kind] = k
 	}
 	k.lastUsed = now
-	queue := 1.0
-	if l, age, ok := s.speed.Load(now, id); ok && age < loadRetention {
-		queue += float64(l.Waiting) / float64(max(l.Slots, 1))
-	}
-	sample := math.Log(float64(latency) / queue / s.speed.Factor(now, id))
+	sample := math.Log(float64(latency) / s.speed.Factor(now, id))
 	if k.samples > 0 {
-		s.speed.Observe(now, id, time.Duration(queue*float64(k.expected())), latency)
+		s.speed.Observe(now, id, k.expected(), latency)
 	}
 	k.samples++
 	k.log += max(1/float64(k.samples), latencyWeight) * (sample - k.log)
