--- a/core/connection/mppeer/guard.go
+++ b/core/connection/mppeer/guard.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	// maxStrangers is how many connections may be open on which nobody has presented the secret. A VM
+	// maxUnauthenticated is how many connections may be open on which nobody has presented the secret. A VM
 	// does with its first call, so that all VMs of a large deployment may connect at once.
-	maxStrangers = 256
-	// strangerGrace is how long such a connection is not closed for another one.
-	strangerGrace = 2 * time.Second
+	maxUnauthenticated = 256
+	// unauthenticatedGrace is how long such a connection is not closed for another one.
+	unauthenticatedGrace = 2 * time.Second
 	// maxRejections is how many calls without the secret a connection may make. gRPC keeps something
 	// of each rejected call until its connection is closed.
 	maxRejections = 100
@@ -37,13 +37,13 @@
 	summaries *mplog.Summarizer
 
 	mu sync.Mutex
-	// strangers holds the connections on which the secret was not presented yet, by their remote
+	// unauthenticated holds the connections on which the secret was not presented yet, by their remote
 	// address.
-	strangers map[string]*guardedConn
+	unauthenticated map[string]*guardedConn
 }
 
 func newGuard(l net.Listener, cfg ServerConfig) *guard {
-	return &guard{Listener: l, cfg: cfg, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgClientsLimited), strangers: map[string]*guardedConn{}}
+	return &guard{Listener: l, cfg: cfg, summaries: mplog.NewSummarizer(cfg.Logger, mplog.MsgClientsLimited), unauthenticated: map[string]*guardedConn{}}
 }
 
 // guardedConn is a connection that was accepted.
@@ -76,22 +76,22 @@
 	}
 }
 
-// add adds a stranger. It returns the one that is closed for it, if any, and false if there is no place.
+// add adds an unauthenticated connection. It returns the one that is closed for it, if any, and false if there is no place.
 func (g *guard) add(now time.Time, c *guardedConn) (oldest *guardedConn, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.strangers) >= maxStrangers {
-		for _, s := range g.strangers {
+	if len(g.unauthenticated) >= maxUnauthenticated {
+		for _, s := range g.unauthenticated {
 			if oldest == nil || s.madeAt.Before(oldest.madeAt) {
 				oldest = s
 			}
 		}
-		if now.Sub(oldest.madeAt) < strangerGrace {
+		if now.Sub(oldest.madeAt) < unauthenticatedGrace {
 			return nil, false
 		}
-		delete(g.strangers, oldest.key())
+		delete(g.unauthenticated, oldest.key())
 	}
-	g.strangers[c.key()] = c
+	g.unauthenticated[c.key()] = c
 	return oldest, true
 }
 
@@ -100,8 +100,8 @@
 func (g *guard) remove(c *guardedConn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.strangers[c.key()] == c {
-		delete(g.strangers, c.key())
+	if g.unauthenticated[c.key()] == c {
+		delete(g.unauthenticated, c.key())
 	}
 }
 
@@ -124,7 +124,7 @@
 func (g *guard) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c := g.strangers[info.RemoteAddr.String()]; c != nil {
+	if c := g.unauthenticated[info.RemoteAddr.String()]; c != nil {
 		return context.WithValue(ctx, guardKey{}, c)
 	}
 	return ctx
--- a/core/connection/mppeer/guard_test.go
+++ b/core/connection/mppeer/guard_test.go
@@ -74,7 +74,7 @@
 	return ctx
 }
 
-// Guards against calls of strangers that reach a VM, or whose messages are read.
+// Guards against unauthenticated calls that reach a VM, or whose messages are read.
 func TestCallsNeedTheSecret(t *testing.T) {
 	p, address, _ := startGuarded(t)
 	for name, c := range map[string]struct {
@@ -109,7 +109,7 @@
 	}
 }
 
-// Guards against a stranger that makes calls without end on one connection.
+// Guards against an unauthenticated client that makes calls without end on one connection.
 func TestRejectedConnectionIsClosed(t *testing.T) {
 	_, address, m := startGuarded(t)
 	conn, err := net.Dial("tcp", address)
@@ -142,15 +142,15 @@
 	}
 }
 
-// Guards against strangers that use up the descriptors of a VM, and against peers whose connections are
+// Guards against unauthenticated clients that use up the descriptors of a VM, and against peers whose connections are
 // closed to make room for them.
-func TestStrangersAreBounded(t *testing.T) {
+func TestUnauthenticatedConnectionsAreBounded(t *testing.T) {
 	_, address, m := startGuarded(t)
 	known := dial(t, address)
 	if _, err := known.Probe(withSecret(t, "the secret"), &mpwire.ProbeRequest{}); err != nil {
 		t.Fatal(err)
 	}
-	for range maxStrangers + 20 {
+	for range maxUnauthenticated + 20 {
 		c, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
@@ -159,21 +159,21 @@
 	}
 	for end := time.Now().Add(10 * time.Second); m.Count("connections.peer.refused") == 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("no stranger was refused")
+			t.Fatal("no unauthenticated connection was refused")
 		}
 	}
 	if _, err := known.Probe(withSecret(t, "the secret"), &mpwire.ProbeRequest{}); err != nil {
 		t.Errorf("a call on a connection from before: %v", err)
 	}
-	// Strangers that say nothing are closed for a peer once they have had time to speak.
-	time.Sleep(strangerGrace)
+	// Silent connections are closed for a peer once their grace period is over.
+	time.Sleep(unauthenticatedGrace)
 	if _, err := dial(t, address).Probe(withSecret(t, "the secret"), &mpwire.ProbeRequest{}, grpc.WaitForReady(true)); err != nil {
 		t.Errorf("a call of a new peer: %v", err)
 	}
 }
 
-// Guards against closing a stranger that has just connected, or another than the oldest.
-func TestWhichStrangerIsClosed(t *testing.T) {
+// Guards against closing a connection that has just been accepted, or another than the oldest.
+func TestWhichUnauthenticatedConnectionIsClosed(t *testing.T) {
 	g := newGuard(nil, ServerConfig{Metrics: mpmetric.New()})
 	start := time.Unix(1000, 0)
 	add := func(i int, now time.Time) (string, bool) {
@@ -184,22 +184,22 @@
 		}
 		return oldest.key(), ok
 	}
-	for i := range maxStrangers {
+	for i := range maxUnauthenticated {
 		if closed, ok := add(i, start.Add(time.Duration(i)*time.Millisecond)); closed != "" || !ok {
-			t.Fatalf("stranger %d: closed %q, added %v", i, closed, ok)
+			t.Fatalf("connection %d: closed %q, added %v", i, closed, ok)
 		}
 	}
-	g.remove(g.strangers["0"])
+	g.remove(g.unauthenticated["0"])
 	for _, c := range []struct {
 		after time.Duration
 		want  string
 		ok    bool
 	}{
 		{time.Second, "", true}, // In the place of the one that is known now.
-		{strangerGrace, "", false},
-		{strangerGrace + time.Millisecond, "1", true},
-		{strangerGrace + time.Millisecond, "", false},
-		{strangerGrace + 2*time.Millisecond, "2", true},
+		{unauthenticatedGrace, "", false},
+		{unauthenticatedGrace + time.Millisecond, "1", true},
+		{unauthenticatedGrace + time.Millisecond, "", false},
+		{unauthenticatedGrace + 2*time.Millisecond, "2", true},
 	} {
 		if closed, ok := add(int(c.after), start.Add(c.after)); closed != c.want || ok != c.ok {
 			t.Errorf("after %v: closed %q, added %v; want %q, %v", c.after, closed, ok, c.want, c.ok)
--- a/core/request/mpassign/fleet_test.go
+++ b/core/request/mpassign/fleet_test.go
@@ -157,7 +157,7 @@
 
 func (f *fleet) now() time.Time { return f.at(f.ms) }
 
-// addOwner adds an owner that has heard of nothing, and of which VMs registers.
+// addOwner adds an owner without state, at which the VMs register.
 func (f *fleet) addOwner(vms int) *Pool {
 	p := New(f.now(), vms, Config{CacheTokens: fleetCacheTokens})
 	f.pools = append(f.pools, p)
--- a/core/request/mpassign/mpassign.go
+++ b/core/request/mpassign/mpassign.go
@@ -31,7 +31,7 @@
 // Request is a request for which an engine is chosen.
 type Request struct {
 	// Token identifies the assignment. The VM chooses it at random, so that it may end an
-	// assignment of which it never heard.
+	// assignment whose reply it did not get.
 	Token uint64
 	VM    string
 	// Parts lists the shared parts of the prompt in order. OwnTokens is the rest of it, which no
--- a/core/request/mpassign/pool.go
+++ b/core/request/mpassign/pool.go
@@ -47,12 +47,12 @@
 	byID    map[string]*engine
 	flights map[uint64]*flight
 	parts   map[uint64]*part
-	// heard holds the VMs that have registered, of vms in all. Until all have, or syncUntil has
+	// registered holds the VMs that have registered, of vms in all. Until all have, or syncUntil has
 	// come, the load of engines is not known.
-	heard     map[string]bool
-	vms       int
-	syncUntil time.Time
-	sweptAt   float64
+	registered map[string]bool
+	vms        int
+	syncUntil  time.Time
+	sweptAt    float64
 
 	samples  average
 	overhead float64
@@ -65,7 +65,7 @@
 func New(now time.Time, vms int, cfg Config) *Pool {
 	return &Pool{
 		cfg: cfg, epoch: now, byID: map[string]*engine{}, flights: map[uint64]*flight{}, parts: map[uint64]*part{},
-		heard: map[string]bool{}, vms: vms, syncUntil: now.Add(syncPeriod),
+		registered: map[string]bool{}, vms: vms, syncUntil: now.Add(syncPeriod),
 		samples: average{initialRate * poolWindow / 10, poolWindow / 10}, overhead: initialOverhead,
 	}
 }
@@ -292,7 +292,7 @@
 
 // isSyncing reports whether VMs may still have to tell what they have in flight.
 func (p *Pool) isSyncing(now time.Time) bool {
-	return now.Before(p.syncUntil) && len(p.heard) < p.vms
+	return now.Before(p.syncUntil) && len(p.registered) < p.vms
 }
 
 // meanWork estimates the tokens that wait at an engine, from what some of the VMs have told. No engine
@@ -304,7 +304,7 @@
 			sum += f.work
 		}
 	}
-	return sum / float64(max(len(p.engines), 1)) * float64(p.vms) / float64(max(len(p.heard), 1))
+	return sum / float64(max(len(p.engines), 1)) * float64(p.vms) / float64(max(len(p.registered), 1))
 }
 
 // Settle takes over what a VM reports about an assignment. It returns false if there is no such
@@ -395,7 +395,7 @@
 			return err
 		}
 	}
-	p.heard[vm] = true
+	p.registered[vm] = true
 	for i := range held {
 		if len(p.flights) < maxFlights {
 			p.addHeld(p.ms(now), vm, &held[i])
