mppeer: Count a silent connection before the calls on it end

Cause: the count followed the close, and the call that the close ended could read it first when the goroutine was not scheduled in between. The connection is marked, counted and then closed.

--- a/core/connection/mppeer/link.go
+++ b/core/connection/mppeer/link.go
@@ -97,16 +97,13 @@
 	return c.Conn.Close()
 }
 
-// closeSilent closes the connection, unless that was done before. It reports whether it did.
-func (c *trackedConn) closeSilent() bool {
+// markSilent marks the connection as silent, unless it was closed before. It reports whether it did, and
+// the caller closes the connection then.
+func (c *trackedConn) markSilent() bool {
 	c.mu.Lock()
-	wasClosed := c.isClosed
-	c.isSilent = c.isSilent || !wasClosed
-	c.mu.Unlock()
-	if !wasClosed {
-		_ = c.Close()
-	}
-	return !wasClosed
+	defer c.mu.Unlock()
+	c.isSilent = c.isSilent || !c.isClosed
+	return !c.isClosed
 }
 
 // readAt returns when bytes were last read, at first when the connection was made.
@@ -243,10 +240,11 @@
 	l.mu.Lock()
 	silent := l.liveness.EndProbe(now, readAt)
 	l.mu.Unlock()
-	if !silent || !tcp.closeSilent() {
+	if !silent || !tcp.markSilent() {
 		return
 	}
-	l.client.cfg.Metrics.Add("peer.silent", 1)
+	l.client.cfg.Metrics.Add("peer.silent", 1) // Before the calls on the connection end.
+	_ = tcp.Close()
 	answered := l.ask(confirmTimeout)
 	l.mu.Lock()
 	l.liveness.Confirm(time.Now(), answered)
