mpmember, mplead: Report large renewals and the time without a lease

A VM whose lease is not renewed logs why, but neither what it lacked nor for how long it has had no lease, and a leader does not tell how large its replies are. So a VM that cannot take in a large reply in time looked like one whose leader is slow or silent.

--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log/level"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpflate"
@@ -23,6 +24,7 @@
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpwire"
+	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpquota"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mpview"
@@ -53,7 +55,9 @@
 	// Voters returns the peer addresses of VMs that may know the leader.
 	Voters func() []string
 	Client *mppeer.Client
-	Logger log.Logger
+	// Metrics receives the counts of renewals; nil drops them.
+	Metrics *mpmetric.Set
+	Logger  log.Logger
 	// OnView is called with each new view, in order, before Current returns it.
 	OnView func(now time.Time, old, next *mpview.View)
 	// OnList is called with each new list of upstreams; nil if the VM does not use it.
@@ -86,6 +90,9 @@
 
 // New returns a member without a lease at revision 0.
 func New(cfg Config) *Member {
+	if cfg.Metrics == nil {
+		cfg.Metrics = mpmetric.New()
+	}
 	return &Member{cfg: cfg, view: mpview.Empty(), renewed: make(chan struct{})}
 }
 
@@ -99,6 +106,15 @@
 // HasLease reports whether this VM may start work at now.
 func (m *Member) HasLease(now time.Time) bool { return m.lease.IsValid(now) }
 
+// TimeWithoutLease returns for how long the VM has had no lease at now; 0 if it has one, or never had.
+func (m *Member) TimeWithoutLease(now time.Time) time.Duration {
+	expiry := m.lease.Expiry()
+	if expiry.IsZero() {
+		return 0
+	}
+	return max(now.Sub(expiry), 0)
+}
+
 // AwaitLease waits until the VM has a lease or ctx ends.
 func (m *Member) AwaitLease(ctx context.Context, clock func() time.Time) error {
 	for !m.HasLease(clock()) {
@@ -200,14 +216,17 @@
 func (m *Member) recordRenewal(address string, err error) {
 	switch {
 	case err != nil && (m.failures%failuresPerLog == 0 || status.Code(err) == codes.DeadlineExceeded):
-		age, idle := m.cfg.Client.Idle(time.Now(), address)
-		_ = level.Warn(m.cfg.Logger).Log("msg", "lease not renewed", "peer", address, "failures", m.failures+1, "age", age, "idle", idle, "err", err)
+		now := time.Now()
+		age, idle := m.cfg.Client.Idle(now, address)
+		_ = level.Warn(m.cfg.Logger).Log("msg", "lease not renewed", "peer", address, "failures", m.failures+1, "age", age, "idle", idle,
+			"revision", m.Current().Revision(), "without", m.TimeWithoutLease(now), "err", err)
 	case err == nil && m.failures > 0:
 		_ = level.Info(m.cfg.Logger).Log("msg", "lease regained", "peer", address, "failures", m.failures)
 	}
 	m.failures++
 	if status.Code(err) == codes.DeadlineExceeded {
 		m.timeouts++
+		m.cfg.Metrics.Add("renewals.late", 1)
 	}
 	if err == nil {
 		m.failures, m.timeouts = 0, 0
@@ -253,6 +272,7 @@
 		return mperror.ErrNotLeader
 	}
 	m.SetLeader(address)
+	m.cfg.Metrics.Add("renewals.bytes", int64(proto.Size(reply)))
 	hasLimits, err := m.adopt(reply)
 	if err != nil {
 		return err
--- a/core/process/mpgateway/metrics.go
+++ b/core/process/mpgateway/metrics.go
@@ -9,6 +9,7 @@
 // publishMetrics registers the gauges that show this VM's health.
 func (g *Gateway) publishMetrics() {
 	g.metrics.Gauge("lease", func() any { return g.member.HasLease(time.Now()) })
+	g.metrics.Gauge("lease.without", func() any { return g.member.TimeWithoutLease(time.Now()) })
 	g.metrics.Gauge("revision", func() any { return g.member.Current().Revision() })
 	g.metrics.Gauge("plan", func() any { return g.Table().Version() })
 	g.metrics.Gauge("vms", func() any { return len(g.member.Current().VMs()) })
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -107,6 +107,8 @@
 	skippedMachines int
 	// ledger has what VMs have counted of roll-outs since this voter began to lead.
 	ledger *mprollout.Ledger
+	// largeReplies are the large replies since the last log line about them.
+	largeReplies largeReplies
 }
 
 // New returns the Leader of one voter.
@@ -168,7 +170,11 @@
 	if !l.IsLeader() {
 		return &mpwire.RenewReply{Leader: l.cfg.Replica.LeaderInfo().Address}, nil
 	}
-	return l.grant(receivedAt, r)
+	reply, err := l.grant(receivedAt, r)
+	if err == nil {
+		l.watchSize(time.Now(), r, reply)
+	}
+	return reply, err
 }
 
 // grant reads the changes and records the lease under one lock, so that no revision
