--- a/core/connection/mplink/mplink.go
+++ b/core/connection/mplink/mplink.go
@@ -6,9 +6,15 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
-const bufferBytes = 32 << 10
+const (
+	bufferBytes = 32 << 10
+	// limitedBufferBytes is how much of a limited connection is passed on at a time, and about how much
+	// waits in front of a limited link, for each connection.
+	limitedBufferBytes = 4 << 10
+)
 
 // Network holds the disturbances between hosts, which are named by their IP addresses. It is safe for
 // concurrent use.
@@ -17,6 +23,26 @@
 	cond    *sync.Cond
 	blocked map[[2]string]bool
 	open    map[*connection]bool
+	links   map[string]*link
+}
+
+// link is the small link of a host, in one direction.
+type link struct {
+	bytesPerSecond float64
+
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+// reserve returns when n bytes, which are sent at now, have passed the link.
+func (l *link) reserve(now time.Time, n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	return l.freeAt
 }
 
 // connection is a connection that is passed on.
@@ -30,7 +56,7 @@
 
 // New returns a Network without disturbances.
 func New() *Network {
-	n := &Network{blocked: map[[2]string]bool{}, open: map[*connection]bool{}}
+	n := &Network{blocked: map[[2]string]bool{}, open: map[*connection]bool{}, links: map[string]*link{}}
 	n.cond = sync.NewCond(&n.mu)
 	return n
 }
@@ -67,6 +93,28 @@
 	return count
 }
 
+// Limit limits what a host receives, over all of its connections that are made from then on.
+func (n *Network) Limit(to string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[to] = &link{bytesPerSecond: bytesPerSecond}
+}
+
+// limit returns the link over which a host receives, with a buffer for it. The link is nil if it has no
+// limit.
+func (n *Network) limit(to string, src net.Conn) (*link, []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.links[to]
+	if l == nil {
+		return nil, make([]byte, bufferBytes)
+	}
+	if t, ok := src.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(limitedBufferBytes)
+	}
+	return l, make([]byte, limitedBufferBytes)
+}
+
 // Relay listens on an address and passes connections on to target, until the closer is closed. Open
 // connections stay.
 func (n *Network) Relay(listen, target string) (io.Closer, error) {
@@ -117,8 +165,8 @@
 	n.open[c] = true
 	n.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { c.copy(c.client, c.server, func() { n.waitOpen(c.from, c.to) }) })
-	wg.Go(func() { c.copy(c.server, c.client, func() { n.waitOpen(c.to, c.from) }) })
+	wg.Go(func() { c.copy(n, c.client, c.server, c.from, c.to) })
+	wg.Go(func() { c.copy(n, c.server, c.client, c.to, c.from) })
 	wg.Wait()
 	_, _ = client.Close(), c.server.Close()
 	n.mu.Lock()
@@ -128,11 +176,14 @@
 
 // copy passes bytes and the end of src on to dst, unless the connection is silent. It returns once src
 // has ended.
-func (c *connection) copy(src, dst net.Conn, waitOpen func()) {
-	buf := make([]byte, bufferBytes)
+func (c *connection) copy(network *Network, src, dst net.Conn, from, to string) {
+	l, buf := network.limit(to, src)
 	for {
 		n, err := src.Read(buf)
-		waitOpen()
+		if l != nil {
+			time.Sleep(time.Until(l.reserve(time.Now(), n)))
+		}
+		network.waitOpen(from, to)
 		if c.silent() {
 			if err != nil {
 				return // The other end does not learn of it.
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -188,9 +188,9 @@
 		Client:  g.client,
 		Metrics: g.metrics,
 		Logger:  cfg.Logger,
-		OnView: g.onView,
-		OnList: g.onList,
-		Limits: g.quotas.limits, OnLimit: g.quotas.learn,
+		OnView:  g.onView,
+		OnList:  g.onList,
+		Limits:  g.quotas.limits, OnLimit: g.quotas.learn,
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: g.voterAddresses})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
