mpplan, mplead: Get plans to VMs in parts, beside the renewals of leases

What callers saw: requests refused with 404 and 401 as an older plan says, seconds after a change was acknowledged, by VMs whose machine and links were sound.

Cause: the reply to a renewal carried all changes that the VM lacked, with whole plans, uncompressed, up to 4 MiB, and had 1.5 s. A VM on a link of 7.5 Mbit/s that missed a few changes of a plan of 1.2 MB did not get its reply in time. What had arrived was thrown away, and the next reply was larger. It had no lease from then on, and went on with its old plan. The class: a transfer that must end within a fixed time and begins anew from zero, and that grows with the delay.

Change: renewals name the plan in force by version and checksum. A plan whose encoding is small comes with the renewal, others in parts from any voter (mpplan). A change counts as in force at a VM once it has the plan.

Renewals are small, so the lease does not wait.

--- a/core/connection/mpmember/mpmember.go
+++ b/core/connection/mpmember/mpmember.go
@@ -23,6 +23,7 @@
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mplease"
 	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpplan"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpquota"
@@ -66,6 +67,8 @@
 	// is called with each change that other VMs learned of.
 	Limits  *mpquota.Limits
 	OnLimit func(c mpquota.Change)
+	// Plans takes over the routing plan; nil if the VM does not use it.
+	Plans *mpplan.Follower
 }
 
 // Member maintains one VM's membership in the deployment.
@@ -158,7 +161,7 @@
 	for next := 0; ctx.Err() == nil; {
 		address := m.Leader()
 		if address == "" {
-			address, next = nextCandidate(m.leaderCandidates(), next, late)
+			address, next = nextCandidate(m.Voters(), next, late)
 		}
 		err := m.renew(ctx, address)
 		m.recordRenewal(address, err)
@@ -243,9 +246,9 @@
 	return ""
 }
 
-// leaderCandidates returns the addresses at which to look for the leader: the
+// Voters returns the peer addresses at which to look for the leader: the
 // configured voters and those in the view.
-func (m *Member) leaderCandidates() []string {
+func (m *Member) Voters() []string {
 	out := slices.Clone(m.cfg.Voters())
 	for _, vm := range m.Current().VMs() {
 		if vm.Voter && !slices.Contains(out, vm.Peer) {
@@ -280,6 +283,9 @@
 	// The leader granted the lease that long after it got the request, so after it was sent.
 	held := mptime.FromMillis(reply.GetHeldMs())
 	m.lease.Extend(sent.Add(held), mptime.FromMillis(reply.GetLeaseMs()))
+	if m.cfg.Plans != nil {
+		m.cfg.Plans.Confirm(time.Now(), sent.Add(held+mptime.FromMillis(reply.GetLeaseMs())))
+	}
 	m.notifyWaiters()
 	if !hasLimits {
 		mptime.Sleep(ctx, retryDelay) // The leader would answer at once again.
@@ -294,6 +300,9 @@
 		m.lease.Revoke()
 		return false, err
 	}
+	if m.cfg.Plans != nil {
+		m.cfg.Plans.Follow(time.Now(), m.Current().Routing(), reply.GetPlan())
+	}
 	if err := m.updateList(time.Now(), reply); err != nil {
 		return false, err
 	}
@@ -334,6 +343,12 @@
 	if m.lacksList {
 		r.Listed = 0
 	}
+	if m.cfg.Plans != nil {
+		r.Plans, r.Plan = true, m.cfg.Plans.Sum()
+		if m.cfg.Plans.IsUnserved() {
+			r.Revision = 0
+		}
+	}
 	if m.cfg.Limits != nil {
 		r.Limits, r.Limited = mpwire.EncodeLimits(m.cfg.Limits.Entries(time.Now())), m.cfg.Limits.Hash()
 	}
@@ -405,6 +420,11 @@
 		if err := json.Unmarshal(fullView, next); err != nil {
 			return mperror.Wrap(err, "decode view from leader")
 		}
+		if next.Revision() < view.Revision() && m.cfg.Plans != nil && m.cfg.Plans.IsUnserved() {
+			// The VM asked for the whole view because of the plan, and has all else.
+			m.cfg.Plans.Follow(time.Now(), next.Routing(), nil)
+			return nil
+		}
 		if next.Revision() < view.Revision() {
 			return mperror.Wrap(mperror.ErrInvalid, "view from leader would lower the revision from %d to %d", view.Revision(), next.Revision())
 		}
--- a/core/process/mpconsensus/service.go
+++ b/core/process/mpconsensus/service.go
@@ -89,6 +89,15 @@
 	return v.leader.Renew(ctx, r)
 }
 
+// Fetch returns a part of the routing plan.
+func (s *Service) Fetch(_ context.Context, r *mpwire.FetchRequest) (*mpwire.PlanPart, error) {
+	v := s.voter.Load()
+	if v == nil {
+		return nil, errNotVoter
+	}
+	return v.leader.Fetch(time.Now(), r), nil
+}
+
 // Report takes over what a VM has counted of the roll-outs that run.
 func (s *Service) Report(_ context.Context, r *mpwire.ReportRequest) (*mpwire.ReportReply, error) {
 	v := s.voter.Load()
--- a/core/process/mpgateway/metrics.go
+++ b/core/process/mpgateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mustardpost.org/core/connection/mpplan"
 	"mustardpost.org/core/request/mpquarantine"
 )
 
@@ -12,6 +13,8 @@
 	g.metrics.Gauge("lease.without", func() any { return g.member.TimeWithoutLease(time.Now()) })
 	g.metrics.Gauge("revision", func() any { return g.member.Current().Revision() })
 	g.metrics.Gauge("plan", func() any { return g.Table().Version() })
+	g.metrics.Gauge("plan.lag", func() any { return g.plans.Lag(time.Now()) })
+	g.metrics.Gauge("plan.confirmed", func() any { return g.plans.State(time.Now()) == mpplan.InForce })
 	g.metrics.Gauge("vms", func() any { return len(g.member.Current().VMs()) })
 	g.metrics.Gauge("upstreams", func() any { return len(g.List().Rows()) })
 	g.metrics.Gauge("upstreams.age", func() any {
--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -20,6 +20,7 @@
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpmember"
 	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpplan"
 	"mustardpost.org/core/connection/mpproposer"
 	"mustardpost.org/core/connection/mprelay"
 	"mustardpost.org/core/connection/mpupstream"
@@ -123,6 +124,7 @@
 	metrics      *mpmetric.Set
 	client       *mppeer.Client
 	member       *mpmember.Member
+	plans        *mpplan.Follower
 	proposer     proposer
 	selector     *mpselect.Selector
 	voterService *mpconsensus.Service
@@ -179,6 +181,10 @@
 		vm: cfg.VM, view: func() *mpview.View { return g.member.Current() }, dial: g.client.Stub, ledger: mporigin.New(),
 		history: mporigin.NewHistory(), silence: newSilence(), metrics: g.metrics, logger: cfg.Logger,
 	}
+	g.plans = mpplan.New(mpplan.Config{
+		Client: g.client, Voters: func() []string { return g.member.Voters() }, Leader: func() string { return g.member.Leader() },
+		Adopt: g.adoptPlan, Metrics: g.metrics, Logger: cfg.Logger,
+	})
 	g.member = mpmember.New(mpmember.Config{
 		Self: mpview.VM{
 			Name: cfg.VM, DC: cfg.DC, Boot: boot, Address: cfg.CallerAddress, Peer: cfg.PeerAddress, Voter: cfg.IsVoter,
@@ -191,6 +197,7 @@
 		OnView:  g.onView,
 		OnList:  g.onList,
 		Limits:  g.quotas.limits, OnLimit: g.quotas.learn,
+		Plans: g.plans,
 	})
 	g.proposer = mpproposer.New(mpproposer.Config{Client: g.client, LeaderHint: g.member, Voters: g.voterAddresses})
 	g.owner = mpstage.NewOwner(ctx, mpstage.OwnerConfig{
@@ -251,6 +258,7 @@
 	}
 	defer peers.Stop()
 	go g.member.Run(ctx)
+	go g.plans.Run(ctx)
 	failed := make(chan error, 1)
 	if g.cfg.IsVoter {
 		go func() {
@@ -349,17 +357,6 @@
 func (g *Gateway) onView(now time.Time, old, next *mpview.View) {
 	g.updateQuarantine(now, next) // Before the first plan lets this VM serve.
 	g.versions.SetRollouts(next.Rollouts())
-	if r := next.Routing(); r.Version != old.Routing().Version {
-		table, err := g.cfg.DecodePlan(r)
-		if err != nil {
-			// Not expected, since a plan is validated before it is accepted.
-			_ = level.Error(g.cfg.Logger).Log("msg", "plan cannot be decoded; keeping the previous one", "plan", r.Version, "err", err)
-			return
-		}
-		g.table.Store(table)
-		_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", r.Version, "revision", next.Revision(),
-			"routes", table.RouteCount(), "accounts", table.AccountCount(), "keys", table.KeyCount())
-	}
 	serving := vmNames(next.Serving())
 	g.selector.SetPeers(serving)
 	g.cfg.Relay.SetPeers(relayPeers(next, g.cfg.VM, g.client.Stub))
@@ -373,6 +370,22 @@
 	g.updateUsable()
 }
 
+// adoptPlan takes a plan into use. An error is not expected, since a plan is validated before it is
+// accepted.
+func (g *Gateway) adoptPlan(_ time.Time, plan mpview.Routing) error {
+	table, err := g.cfg.DecodePlan(plan)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Store(table)
+	_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", plan.Version, "revision", g.view.Revision(),
+		"routes", table.RouteCount(), "accounts", table.AccountCount(), "keys", table.KeyCount())
+	g.updateUsable()
+	return nil
+}
+
 // updateQuarantine takes over what the other VMs learned about crashes.
 func (g *Gateway) updateQuarantine(now time.Time, view *mpview.View) {
 	convicted, cleared := g.quarantine.SetStrikes(now, view.AllStrikes())
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -107,6 +107,8 @@
 	skippedMachines int
 	// ledger has what VMs have counted of roll-outs since this voter began to lead.
 	ledger *mprollout.Ledger
+	// plans are those that VMs fetch.
+	plans *plans
 	// largeReplies are the large replies since the last log line about them.
 	largeReplies largeReplies
 }
@@ -116,7 +118,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = mpmetric.New()
 	}
-	l := &Leader{cfg: cfg, limits: mpquota.NewLimits(), upstreamListChanged: make(chan struct{}), limitsChanged: make(chan struct{})}
+	l := &Leader{cfg: cfg, limits: mpquota.NewLimits(), plans: newPlans(), upstreamListChanged: make(chan struct{}), limitsChanged: make(chan struct{})}
 	l.OnLeadershipChange(time.Now(), false)
 	return l
 }
@@ -162,8 +164,12 @@
 	if err := l.updateViewRow(ctx, r); err != nil {
 		return nil, err
 	}
+	confirmed := r.GetRevision()
+	if plan := l.cfg.StateMachine.Plan(); lacksPlan(r, plan) {
+		confirmed = min(confirmed, plan.PublishedAt-1)
+	}
 	l.mu.Lock()
-	l.leaseTracker.Confirm(r.GetVm(), r.GetRevision())
+	l.leaseTracker.Confirm(r.GetVm(), confirmed)
 	l.mu.Unlock()
 	l.mergeLimits(time.Now(), r.GetLimits())
 	l.waitForUpdate(ctx, r)
@@ -178,21 +184,32 @@
 }
 
 // grant reads the changes and records the lease under one lock, so that no revision
-// can be reported as in force between the two.
+// can be reported as in force between the two. A VM that does not get the plan in force with
+// the reply may still act on the one before.
 func (l *Leader) grant(receivedAt time.Time, r *mpwire.RenewRequest) (*mpwire.RenewReply, error) {
+	part := l.inlinePlan(time.Now(), r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changes, view, revision, err := l.cfg.StateMachine.ChangesSince(r.GetRevision())
+	changesSince := l.cfg.StateMachine.ChangesSince
+	if r.GetPlans() {
+		changesSince = l.cfg.StateMachine.LeanChangesSince
+	}
+	changes, view, revision, err := changesSince(r.GetRevision())
 	if err != nil {
 		return nil, mperror.Wrap(err, "changes after %d", r.GetRevision())
 	}
 	now := time.Now()
-	l.leaseTracker.Grant(now, r.GetVm(), revision)
+	granted := revision
+	if plan := l.cfg.StateMachine.Plan(); lacksPlan(r, plan) && !holdsPlan(part, plan) {
+		granted = min(granted, plan.PublishedAt-1)
+	}
+	l.leaseTracker.Grant(now, r.GetVm(), granted)
 	reply := &mpwire.RenewReply{
 		LeaseMs:  uint32(l.cfg.LeaseDuration.Milliseconds()),
 		Revision: revision,
 		Changes:  changes,
 		View:     view,
+		Plan:     part,
 	}
 	if r.GetHolds() {
 		reply.HeldMs = mptime.Millis(now.Sub(receivedAt))
@@ -392,6 +409,7 @@
 		go mptime.Every(ctx, rolloutInterval, func(now time.Time) { l.stepRollouts(ctx, now) })
 	}
 	mptime.Every(ctx, taskInterval, func(now time.Time) {
+		l.plans.observe(l.cfg.StateMachine.Plan())
 		if !l.IsLeader() || !l.hasMinVoters() {
 			return
 		}
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -56,17 +56,27 @@
 	orders     orders
 	// accepted holds the orders of roll-outs that may be repeated.
 	accepted []acceptedOrder
-	// encodedView is the encoded view at revision encodedRevision.
-	encodedView     []byte
-	encodedRevision uint64
-	clockMs         int64
-	changed         chan struct{}
+	// publishedAt is the revision of the newest change that published a plan. The changes in deltas
+	// have the checksums of plans in place of the sources.
+	publishedAt uint64
+	// planSum is the checksum of the plan in force.
+	planSum uint64
+	// encoded is the encoded view with the source of the plan, and lean the one without.
+	encoded, lean encodedView
+	clockMs       int64
+	changed       chan struct{}
 	// urgentRevision is the revision of the newest change that isUrgent. urgentChanged is
 	// closed and replaced at the next one.
 	urgentRevision uint64
 	urgentChanged  chan struct{}
 }
 
+// encodedView is an encoded view at a revision. The zero value is none.
+type encodedView struct {
+	data     []byte
+	revision uint64
+}
+
 // New returns an empty state at revision 0.
 func New() *Machine {
 	return &Machine{
@@ -172,16 +182,25 @@
 		before := m.view.Catalogue().AffectedRows(e.Edit)
 		rec.Before = &before
 	}
+	published, isPublish := c.Change.Op.(mpview.Publish)
+	if isPublish {
+		published.Routing = published.Routing.WithoutSource()
+		rec.Change.Op = published
+	}
 	delta, err := json.Marshal(rec.Change)
 	if err != nil {
 		return Result{Code: CodeInvalid, Text: err.Error()}
 	}
 	m.abandonClaims(c.Change.Op)
 	m.view = next
-	if p, ok := c.Change.Op.(mpview.Publish); ok {
+	if isPublish {
+		m.publishedAt = next.Revision()
+		if next.Routing().Version == published.Routing.Version {
+			m.planSum = published.Routing.Sum
+		}
 		// Record only the version in the audit trail, because the documents of
 		// old plans would take too much memory.
-		rec.Change.Op = mpview.Publish{Routing: mpview.Routing{Version: p.Routing.Version}}
+		rec.Change.Op = mpview.Publish{Routing: mpview.Routing{Version: published.Routing.Version}}
 	}
 	m.audit = lastN(append(m.audit, rec), maxAuditRecords)
 	m.appendDelta(delta)
@@ -277,14 +296,41 @@
 	return m.urgentRevision, m.urgentChanged
 }
 
+// Plan is the plan in force at a revision.
+type Plan struct {
+	mpview.Routing
+	// Sum identifies the plan; it is 0 if there is none.
+	Sum uint64
+	// PublishedAt is the revision of the newest change that published a plan, or a later one.
+	PublishedAt uint64
+}
+
+// Plan returns the plan in force. The caller must not modify its source.
+func (m *Machine) Plan() Plan {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return Plan{Routing: m.view.Routing(), Sum: m.planSum, PublishedAt: m.publishedAt}
+}
+
 // ChangesSince returns the encoded changes after revision, and the revision that
-// they lead to. If the changes are no longer kept, or revision is 0 because the
-// VM has no view yet, it returns the complete encoded view instead. The caller
+// they lead to. If the changes are no longer kept, publish a plan, or revision is 0 because
+// the VM has no view yet, it returns the complete encoded view instead. The caller
 // must not modify the results.
 func (m *Machine) ChangesSince(revision uint64) (changes [][]byte, view []byte, at uint64, err error) {
+	return m.changesSince(revision, false)
+}
+
+// LeanChangesSince is like ChangesSince for a VM that gets plans by themselves: the results have the
+// checksums of plans in place of the sources.
+func (m *Machine) LeanChangesSince(revision uint64) (changes [][]byte, view []byte, at uint64, err error) {
+	return m.changesSince(revision, true)
+}
+
+func (m *Machine) changesSince(revision uint64, lean bool) (changes [][]byte, view []byte, at uint64, err error) {
 	m.mu.RLock()
 	at = m.view.Revision()
-	if revision == at || revision > 0 && revision < at && revision+1 >= m.firstDelta {
+	isKept := revision > 0 && revision < at && revision+1 >= m.firstDelta && (lean || revision >= m.publishedAt)
+	if revision == at || isKept {
 		defer m.mu.RUnlock()
 		if revision == at {
 			return nil, nil, at, nil
@@ -292,27 +338,31 @@
 		return m.deltas[revision+1-m.firstDelta:], nil, at, nil
 	}
 	m.mu.RUnlock()
-	return m.encodeView()
+	return m.encodeView(lean)
 }
 
 // encodeView returns the complete view, or one to which only changes that are not urgent were
 // made since, so that many VMs that start at the same time do not each cost an encoding.
-func (m *Machine) encodeView() ([][]byte, []byte, uint64, error) {
+func (m *Machine) encodeView(lean bool) ([][]byte, []byte, uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	encoded, view := &m.encoded, m.view
+	if lean {
+		encoded, view = &m.lean, m.view.WithoutPlan()
+	}
 	at := m.view.Revision()
-	isRecent := m.encodedRevision >= m.urgentRevision && m.encodedRevision+1 >= m.firstDelta && at-m.encodedRevision <= maxViewLag
-	if m.encodedView != nil && isRecent {
-		return nil, m.encodedView, m.encodedRevision, nil
+	isRecent := encoded.revision >= m.urgentRevision && encoded.revision+1 >= m.firstDelta && at-encoded.revision <= maxViewLag
+	if encoded.data != nil && isRecent {
+		return nil, encoded.data, encoded.revision, nil
 	}
-	if m.encodedView == nil || m.encodedRevision != at {
-		data, err := json.Marshal(m.view)
+	if encoded.data == nil || encoded.revision != at {
+		data, err := json.Marshal(view)
 		if err != nil {
 			return nil, nil, at, err
 		}
-		m.encodedView, m.encodedRevision = data, at
+		*encoded = encodedView{data, at}
 	}
-	return nil, m.encodedView, at, nil
+	return nil, encoded.data, at, nil
 }
 
 // Audit returns the records after revision after, at most the newest limit ones.
@@ -335,6 +385,8 @@
 	return len(m.claims.rows)
 }
 
+// wireMachine leaves out the changes that VMs can fetch one by one: those who lag behind a voter's
+// restart get the view. Earlier builds read them from deltas, beginning with the one at first.
 type wireMachine struct {
 	View        *mpview.View     `json:"view"`
 	Deltas      [][]byte         `json:"deltas"`
@@ -354,8 +406,7 @@
 	defer m.mu.RUnlock()
 	w := wireMachine{
 		View:        m.view,
-		Deltas:      m.deltas,
-		FirstDelta:  m.firstDelta,
+		FirstDelta:  m.view.Revision() + 1,
 		Audit:       m.audit,
 		Results:     m.results,
 		Claims:      make([]claim, 0, len(m.claims.rows)),
@@ -379,8 +430,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.view = w.View
-	m.deltas = w.Deltas
-	m.firstDelta = w.FirstDelta
+	m.deltas, m.firstDelta = nil, w.View.Revision()+1
 	m.audit = w.Audit
 	m.results = w.Results
 	m.resultByID = make(map[string]Result, len(w.Results))
@@ -394,7 +444,9 @@
 	}
 	m.clockMs = w.ClockMs
 	m.orders, m.accepted = w.Orders, w.Accepted
-	m.encodedView, m.urgentRevision = nil, w.View.Revision()
+	m.encoded, m.lean = encodedView{}, encodedView{}
+	m.urgentRevision, m.publishedAt = w.View.Revision(), w.View.Revision()
+	m.planSum = w.View.Routing().Checksum()
 	close(m.changed)
 	close(m.urgentChanged)
 	m.changed, m.urgentChanged = make(chan struct{}), make(chan struct{})
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -10,6 +10,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/version/mpcatalogue"
 	"mustardpost.org/core/version/mprollout"
@@ -44,7 +46,22 @@
 // reading the plan returns it unchanged.
 type Routing struct {
 	Version uint64          `json:"version"`
-	Source  json.RawMessage `json:"source"`
+	Source  json.RawMessage `json:"source,omitempty"`
+	// Sum identifies the source where that is left out; it is 0 otherwise.
+	Sum uint64 `json:"sum,omitempty"`
+}
+
+// Checksum returns the number that identifies the source, or 0 if there is no plan.
+func (r Routing) Checksum() uint64 {
+	if r.Sum != 0 || len(r.Source) == 0 {
+		return r.Sum
+	}
+	return xxhash.Sum64(r.Source)
+}
+
+// WithoutSource returns the plan with the checksum in place of the source.
+func (r Routing) WithoutSource() Routing {
+	return Routing{Version: r.Version, Sum: r.Checksum()}
 }
 
 // Ownership identifies the VM that grants permits for a group, and the epoch in
@@ -363,6 +380,16 @@
 	Rollouts map[string]mprollout.Rollout `json:"rollouts,omitempty"`
 }
 
+// WithoutPlan returns the view with the checksum of the plan in place of its source.
+func (v *View) WithoutPlan() *View {
+	if v.routing.Version == 0 {
+		return v
+	}
+	out := *v
+	out.routing = v.routing.WithoutSource()
+	return &out
+}
+
 // MarshalJSON encodes the complete view.
 func (v *View) MarshalJSON() ([]byte, error) {
 	var routing *Routing
