mpproxy: Refuse with 503 what a plan that may have been replaced does not allow

What callers saw: 404 and 401 for routes and keys that were in the newest plan, from VMs without a lease. They were final answers, so the callers did not come back.

Cause: a request was resolved by the plan that the VM had, whether or not anybody confirmed it. A change is acknowledged without the VMs that have lost their leases, for which there are more causes than plans that do not arrive: silent connections, a slow leader, an election.

Change: a VM knows whether its plan is in force, unconfirmed, or replaced by one that it does not have or cannot use. Unconfirmed plans still serve what they allow, since an outage of the voters would otherwise be one of all requests; what they do not allow is refused with 503 and Retry-After. A VM that has known of a newer plan for longer than a lease refuses all requests so. None of these requests has run.

TestAnswersByAPlanThatIsNotInForce fails without the change: 404 and 401 in place of 503.

--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -219,6 +219,7 @@
 	g.proxy = mpproxy.New(mpproxy.Config{
 		DC:            cfg.DC,
 		State:         g,
+		PlanState:     g.plans.State,
 		Dialect:       cfg.Dialect,
 		StageExecutor: g.router,
 		Selector:      g.selector,
--- a/core/request/mpproxy/check_test.go
+++ b/core/request/mpproxy/check_test.go
@@ -1,15 +1,55 @@
 package mpproxy
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"mustardpost.org/core/connection/mpplan"
 	"mustardpost.org/core/version/mplist"
 )
 
+// Guards against a VM that refuses routes and keys for good by a plan that may have been replaced, or
+// that goes on with a plan which it knows to be replaced: it had no lease, and answered 404 and 401 as
+// an older plan says. What its plan allows is served while nobody confirms the plan.
+func TestAnswersByAPlanThatIsNotInForce(t *testing.T) {
+	type answer struct {
+		Status int
+		// Comes is set if the answer tells when to come back.
+		Comes bool
+	}
+	served := answer{Status: http.StatusOK}
+	for name, c := range map[string]struct {
+		state                     mpplan.State
+		good, noRoute, unknownKey answer
+	}{
+		"in force":    {mpplan.InForce, served, answer{404, false}, answer{401, false}},
+		"unconfirmed": {mpplan.Unconfirmed, served, answer{503, true}, answer{503, true}},
+		"replaced":    {mpplan.Replaced, answer{503, true}, answer{503, true}, answer{503, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, q := range []struct {
+				path, key string
+				want      answer
+			}{{"/read/", "key", c.good}, {"/none/", "key", c.noRoute}, {"/read/", "none", c.unknownKey}} {
+				h := newHarness(t, good)
+				h.p.cfg.PlanState = func(time.Time) mpplan.State { return c.state }
+				r := request(q.path)
+				r.APIKey = q.key
+				w := httptest.NewRecorder()
+				h.p.Serve(t.Context(), w, r)
+				if diff := cmp.Diff(q.want, answer{w.Code, w.Header().Get("Retry-After") != ""}); diff != "" {
+					t.Errorf("answer to %s with key %q (-want +got):\n%s", q.path, q.key, diff)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a check before the body is read that decides otherwise than Serve does later, and
 // against a refusal that is counted twice or not at all.
 func TestCheckAnswersAsServe(t *testing.T) {
--- a/core/request/mpproxy/mpproxy.go
+++ b/core/request/mpproxy/mpproxy.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpplan"
 	"mustardpost.org/core/process/mplog"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/request/mpassign"
@@ -60,8 +61,10 @@
 
 // Config configures a Proxy.
 type Config struct {
-	DC            string
-	State         RoutingState
+	DC    string
+	State RoutingState
+	// PlanState returns what the VM knows of the plan in force; nil if the plan never changes.
+	PlanState     func(now time.Time) mpplan.State
 	Dialect       Dialect
 	StageExecutor StageExecutor
 	Selector      *mpselect.Selector
