mpupstream, mpreport, mpplatform, mporder: Limit the heads of answers to calls

It can happen in mustardpostd: the pollers of load reports, the reader of the platform's list and the sender of orders used net/http's limit of 10 MiB for a head. Ten such servers at once take 100 MB of a VM of 144 MB. They get the limit of 32 KiB that requests of callers have.

--- a/core/connection/mpplatform/mpplatform.go
+++ b/core/connection/mpplatform/mpplatform.go
@@ -13,6 +13,7 @@
 
 	"mustardpost.org/core/common/mpentry"
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/version/mpview"
 )
 
@@ -45,7 +46,7 @@
 
 // New returns a client for the list at url.
 func New(url string) *Client {
-	return &Client{url: url, http: &http.Client{Timeout: listTimeout}}
+	return &Client{url: url, http: &http.Client{Timeout: listTimeout, Transport: mpupstream.NewCallTransport()}}
 }
 
 // List fetches the platform's list. Entries that cannot be decoded are left out, since other writers
--- a/core/connection/mpreport/mpreport.go
+++ b/core/connection/mpreport/mpreport.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mustardpost.org/core/common/mptime"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/process/mpowner"
 	"mustardpost.org/core/request/mppermit"
 	"mustardpost.org/core/version/mpview"
@@ -46,7 +47,7 @@
 
 // New returns a poller.
 func New(cfg Config) *Poller {
-	return &Poller{cfg: cfg, http: &http.Client{Timeout: pollTimeout}}
+	return &Poller{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: mpupstream.NewCallTransport()}}
 }
 
 // Run polls until ctx ends.
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -20,6 +20,7 @@
 	keepaliveProbes          = 3
 	proxyIdleConnTimeout     = 4 * time.Second
 	proxyMaxIdleConnsPerHost = 16
+	callIdleTimeout          = 10 * time.Second
 )
 
 // NewDialer returns a dialer with local address source whose connections detect a
@@ -75,6 +76,12 @@
 	return &Transport{pooled: t, unpooled: unpooled}
 }
 
+// NewCallTransport returns a transport for calls whose responses are read at once, up to a limit. It
+// limits their heads as well, which net/http would hold up to 10 MiB of.
+func NewCallTransport() *http.Transport {
+	return &http.Transport{IdleConnTimeout: callIdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+}
+
 // RoundTrip sends req and returns the response. A request with Close set gets a new connection. Errors
 // are those of http.Transport.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
--- a/core/process/mporder/mporder.go
+++ b/core/process/mporder/mporder.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"mustardpost.org/core/common/mperror"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/process/mplead"
 	"mustardpost.org/core/version/mpstate"
 )
@@ -43,12 +44,14 @@
 
 // New returns an Executor.
 func New(cfg Config) *Executor {
+	// The transport sends requests again only on reused connections, and the client
+	// only after redirects. Neither may send an order twice.
+	transport := mpupstream.NewCallTransport()
+	transport.DisableKeepAlives = true
 	return &Executor{
 		cfg: cfg,
-		// The transport sends requests again only on reused connections, and the client
-		// only after redirects. Neither may send an order twice.
 		client: &http.Client{
-			Timeout: SendTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+			Timeout: SendTimeout, Transport: transport,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		scheduler: NewScheduler(time.Time{}),
