--- a/core/process/mpgateway/mpgateway.go
+++ b/core/process/mpgateway/mpgateway.go
@@ -15,7 +15,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpid"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpmember"
@@ -371,22 +370,6 @@
 	g.updateUsable()
 }
 
-// adoptPlan takes a plan into use. An error is not expected, since a plan is validated before it is
-// accepted.
-func (g *Gateway) adoptPlan(_ time.Time, plan mpview.Routing) error {
-	table, err := g.cfg.DecodePlan(plan)
-	if err != nil {
-		return err
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.table.Store(table)
-	_ = level.Info(g.cfg.Logger).Log("msg", "plan in force", "plan", plan.Version, "revision", g.view.Revision(),
-		"routes", table.RouteCount(), "accounts", table.AccountCount(), "keys", table.KeyCount())
-	g.updateUsable()
-	return nil
-}
-
 // updateQuarantine takes over what the other VMs learned about crashes.
 func (g *Gateway) updateQuarantine(now time.Time, view *mpview.View) {
 	convicted, cleared := g.quarantine.SetStrikes(now, view.AllStrikes())
@@ -463,28 +446,6 @@
 	return b
 }
 
-// PublishPlan replaces the operators' plan, unless a newer one is in force. If it returns
-// an error that wraps ErrOutcomeUnknown, the plan may still take effect.
-func (g *Gateway) PublishPlan(ctx context.Context, r mpview.Routing) error {
-	if r.Version == 0 {
-		// It is not above the version of no plan, so it would be acknowledged without effect.
-		current, err := g.ReadPlan(ctx)
-		if err := checkFirstVersion(current, err); err != nil {
-			return err
-		}
-	}
-	return g.propose(ctx, operatorName, mpview.Publish{Routing: r})
-}
-
-// checkFirstVersion returns an error for a plan of version 0 unless a plan is in force, which it
-// would not replace. err is that of reading the plan in force.
-func checkFirstVersion(current mpview.Routing, err error) error {
-	if err != nil || current.Version > 0 {
-		return err
-	}
-	return mperror.Wrap(mperror.ErrInvalid, "the version of the first plan must be above 0")
-}
-
 // SetOutOfService takes a data centre out of service or back in.
 func (g *Gateway) SetOutOfService(ctx context.Context, dc string, out bool) error {
 	return g.propose(ctx, operatorName, mpview.Mark{Target: mpview.TargetDC, Name: dc, Out: out})
@@ -500,14 +461,3 @@
 	}
 	return reply.Result.Err()
 }
-
-// ReadPlan returns the newest published plan. Its version is 0 if there is none.
-func (g *Gateway) ReadPlan(ctx context.Context) (mpview.Routing, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	reply, err := g.proposer.Propose(ctx, mpstate.Read{}, 0)
-	if err != nil || reply.Result.Routing == nil {
-		return mpview.Routing{}, err
-	}
-	return *reply.Result.Routing, nil
-}
