review: Show that an entry of the list that is broken off stops the use of the list

A server that drains gets work until it ends, and the requests on it are lost, while the platform's list has an entry whose braces are not closed: the whole page cannot be decoded then, and the list before stays in use.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -76,9 +76,11 @@
 	record   *os.File
 	machines []*machine
 	list     []instance
-	listener net.Listener
-	servers  []*server
-	isOver   bool
+	// foreignEntry is what another writer left in the list, as it is served.
+	foreignEntry string
+	listener     net.Listener
+	servers      []*server
+	isOver       bool
 }
 
 func newLab(record string, hasTrouble bool) (*lab, error) {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -18,6 +18,8 @@
 // cases maps the names of cases to what plays them. Each returns what broke the rule, or "".
 var cases = map[string]func(l *lab) (string, error){
 	"race": playRace,
+	"torn": playTorn,
+	"path": playPath,
 }
 
 func main() {
--- a/review/lab/servers.go
+++ b/review/lab/servers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -30,19 +31,34 @@
 		return
 	}
 	l.mu.Lock()
-	rows := append([]instance{}, l.list...)
+	var entries []string
+	for i, row := range l.list {
+		data, _ := json.Marshal(row) // Cannot fail.
+		entries = append(entries, string(data))
+		if i == 0 && l.foreignEntry != "" {
+			entries = append(entries, l.foreignEntry)
+		}
+	}
 	l.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": rows, "next": nil})
+	_, _ = fmt.Fprintf(w, `{"instances":[%s],"next":null}`, strings.Join(entries, ","))
+}
+
+// setList changes the list: the state of the first server, and an entry from another writer after it.
+func (l *lab) setList(state, foreignEntry string) {
+	l.mu.Lock()
+	l.list[0].State, l.foreignEntry = state, foreignEntry
+	l.mu.Unlock()
+	l.note("list: first server is %s, entry from another writer %q", state, foreignEntry)
 }
 
 // arrival is a request that a server has begun to run.
 type arrival struct {
-	at        time.Time
-	id        string
-	lastEvent string
-	path      string
-	header    http.Header
+	at   time.Time
+	id   string
+	path string
+	// target is the request target as it was sent.
+	target string
 }
 
 // server is a stand-in for a server of a service.
@@ -88,9 +104,9 @@
 		return
 	}
 	s.mu.Lock()
-	s.runs = append(s.runs, arrival{at: time.Now(), id: r.Header.Get("X-Request-Id"), path: r.URL.Path, lastEvent: r.Header.Get("Last-Event-Id"), header: r.Header.Clone()})
+	s.runs = append(s.runs, arrival{at: time.Now(), id: r.Header.Get("X-Request-Id"), path: r.URL.Path, target: r.RequestURI})
 	s.mu.Unlock()
-	s.l.note("server %s (zone %s) runs %s %s", s.row.ID, s.row.Zone, r.Header.Get("X-Request-Id"), r.URL.Path)
+	s.l.note("server %s (zone %s) runs %s %s %s", s.row.ID, s.row.Zone, r.Header.Get("X-Request-Id"), r.Method, r.RequestURI)
 	handle(s, w, r)
 }
 
