review: Show that requests are generated from the pieces of other requests

If servers of stages send a few answers a second time, late, requests reach the model servers with results that were made for other requests, and callers get success for them. A second copy of an answer without results cannot be told from the answer to the next call, whose true answer then goes to the call after it.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -17,9 +17,10 @@
 
 // cases maps the names of cases to what plays them. Each returns what broke the rule, or "".
 var cases = map[string]func(l *lab) (string, error){
-	"race": playRace,
-	"torn": playTorn,
-	"path": playPath,
+	"race":   playRace,
+	"torn":   playTorn,
+	"path":   playPath,
+	"stages": playStages,
 }
 
 func main() {
