review: Show that streams are cut while their server is silent for a moment

A caller of a route whose streams may be resumed loses its stream in the middle, 1.5 s after the last event, if the server pauses and no other one can take over: the attempt is cancelled before that is asked.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -17,8 +17,9 @@
 
 // cases maps the names of cases to what plays them. Each returns what broke the rule, or "".
 var cases = map[string]func(l *lab) (string, error){
-	"race": playRace,
-	"torn": playTorn,
+	"race":   playRace,
+	"silent": playSilent,
+	"torn":   playTorn,
 }
 
 func main() {
