review: Show that a route with a stage of large results is never served

Callers of a route whose first stage has large results that the second one reads get 503 just before their deadline: the stage waits for itself.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -18,6 +18,7 @@
 // cases maps the names of cases to what plays them. Each returns what broke the rule, or "".
 var cases = map[string]func(l *lab) (string, error){
 	"race":   playRace,
+	"chain":  playChain,
 	"silent": playSilent,
 	"torn":   playTorn,
 }
