--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -206,15 +206,19 @@
 	_ = m.cmd.Process.Signal(s)
 }
 
-// close ends all processes that the lab started.
-func (l *lab) close() {
+// killAll ends all processes that the lab started.
+func (l *lab) killAll() {
 	for _, m := range l.machines {
 		if m.cmd != nil {
 			_ = m.cmd.Process.Signal(syscall.SIGKILL)
-			_ = m.cmd.Process.Signal(syscall.SIGCONT)
 			<-m.done
 		}
 	}
+}
+
+// close ends what the lab started and removes its files.
+func (l *lab) close() {
+	l.killAll()
 	for _, s := range l.servers {
 		s.close()
 	}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit statuses of a case.
@@ -15,6 +18,9 @@
 	exitNotRun = 2
 )
 
+// maxPlayTime is below the 120 s that a case may take.
+const maxPlayTime = 115 * time.Second
+
 // cases maps the names of cases to what plays them. Each returns what broke the rule, or "".
 var cases = map[string]func(l *lab) (string, error){
 	"race":   playRace,
@@ -43,6 +49,18 @@
 		return exitNotRun
 	}
 	defer l.close()
+	// What was started ends with this process, also if that is told to end or takes too long.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxPlayTime):
+			l.note("cannot run: it takes too long")
+		}
+		l.killAll()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(l)
 	switch {
 	case err != nil:
