review: Show that a piece which crashes servers is tried on all of them

One request whose piece crashes the servers of its stage takes all five of them down each time that it comes, and three in five requests of other callers are refused. Crashes under calls for pieces are not recorded as evidence.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -68,9 +68,11 @@
 type lab struct {
 	// hasTrouble is unset if the case is played without its disruption.
 	hasTrouble bool
-	dir        string
-	network    string
-	start      time.Time
+	// pauses is set if servers pause in the middle of streams while there is trouble.
+	pauses  bool
+	dir     string
+	network string
+	start   time.Time
 
 	mu       sync.Mutex
 	record   *os.File
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,6 +23,7 @@
 
 // cases maps the names of cases to what plays them. Each returns what broke the rule, or "".
 var cases = map[string]func(l *lab) (string, error){
+	"poison": playPoison,
 	"race":   playRace,
 	"chain":  playChain,
 	"silent": playSilent,
--- a/review/lab/silent.go
+++ b/review/lab/silent.go
@@ -27,6 +27,7 @@
 			return "", err
 		}
 	}
+	l.pauses = true
 	l.setList("draining", "") // The first one is being replaced.
 	if err := l.addMachines(3, 3); err != nil {
 		return "", err
@@ -68,7 +69,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range streamEvents {
 		pause := usualPause
-		if i == 3 && s.l.hasTrouble {
+		if i == 3 && s.l.hasTrouble && s.l.pauses {
 			pause = preemptedTime
 		}
 		select {
