--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -41,7 +39,7 @@
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
-	resp, err := newClient(0).Do(req)
+	resp, err := l.client(0).Do(req)
 	if err != nil {
 		out.err = err
 		l.note("client: %s %s%s at %s: no answer (%v)", out.id, host, path, m.name, unwrap(err))
@@ -54,31 +52,6 @@
 	return out
 }
 
-// sendRaw is send for a request whose target is written as it is.
-func (l *lab) sendRaw(m *machine, method, host, target, body string, timeout time.Duration) reply {
-	out := reply{id: newID(), sentAt: time.Now()}
-	c, err := net.DialTimeout("tcp", hostPort(m.ip, frontPort), time.Second)
-	if err != nil {
-		out.err = err
-		return out
-	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(timeout))
-	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, target, host, out.id, timeout.Milliseconds(), len(body), body)
-	if err == nil {
-		var resp *http.Response
-		if resp, err = http.ReadResponse(bufio.NewReader(c), nil); err == nil {
-			var text []byte
-			text, err = io.ReadAll(resp.Body)
-			out.status, out.body, out.seal = resp.StatusCode, string(text), resp.Header.Get("X-Response-Seal")
-		}
-	}
-	out.err = err
-	l.note("client: %s %s %s at %s: %d, seal %q, err %v", out.id, method, target, m.name, out.status, out.seal, err)
-	return out
-}
-
 // traffic sends requests at a steady rate to the fronts in turn until stop is called. stop waits for all
 // answers and returns them.
 func (l *lab) traffic(perSecond int, request func(m *machine) reply) (stop func() []reply) {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -236,9 +236,11 @@
 	}
 }
 
-// newClient returns an HTTP client that makes a new connection for each request.
-func newClient(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}, CheckRedirect: func(*http.Request, []*http.Request) error {
+// client returns an HTTP client that makes a new connection for each request. It has an address of its own, so
+// that other programs leave it enough ports.
+func (l *lab) client(timeout time.Duration) *http.Client {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(l.network + ".250")}, Timeout: time.Second}
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: dialer.DialContext}, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}
 }
@@ -255,7 +257,7 @@
 	} else {
 		req.Body, req.ContentLength = nil, 0
 	}
-	resp, err := newClient(operatorPatience).Do(req)
+	resp, err := l.client(operatorPatience).Do(req)
 	if err != nil {
 		l.note("operator: %s %s at %s: no answer (%v)", method, path, m.name, unwrap(err))
 		return 0, "", err
@@ -294,7 +296,7 @@
 
 // isReady asks a front whether it is ready.
 func (l *lab) isReady(m *machine) bool {
-	resp, err := newClient(time.Second).Get("http://" + hostPort(m.ip, readyPort) + "/api/readyz")
+	resp, err := l.client(time.Second).Get("http://" + hostPort(m.ip, readyPort) + "/api/readyz")
 	if err != nil {
 		return false
 	}
