mpplan: Log and count plans that do not match their checksum

A VM that gets a plan whose checksum differs from the announced one asks again, and nothing said so: the errors of calls for parts are dropped. The log of a VM that answers every request with 503 "plan replaced" looked the same as that of a VM whose link is too slow.

No decision changes.

--- a/core/connection/mpplan/mpplan.go
+++ b/core/connection/mpplan/mpplan.go
@@ -50,8 +50,12 @@
 	Replaced
 )
 
-// errNothingNew means that a voter has no newer plan than this VM.
-var errNothingNew = errors.New("no newer plan there")
+var (
+	// errNothingNew means that a voter has no newer plan than this VM.
+	errNothingNew = errors.New("no newer plan there")
+	// errMismatch means that a plan that has arrived is not the one that it was announced as.
+	errMismatch = errors.New("plan does not match its checksum")
+)
 
 // Config holds the dependencies of a Follower.
 type Config struct {
@@ -92,6 +96,8 @@
 	confirmedUntil time.Time
 	// lacksSince is when the VM learned of a plan that it does not have, or zero.
 	lacksSince, loggedAt time.Time
+	// mismatchLoggedAt is when a plan that does not match its checksum was last logged.
+	mismatchLoggedAt time.Time
 }
 
 // New returns a Follower without a plan.
@@ -149,6 +155,7 @@
 	}
 	if encoded != nil {
 		if err := f.use(now, encoded); err != nil {
+			f.watchMismatch(now, "renewal", err)
 			_ = level.Warn(f.cfg.Logger).Log("msg", "plan from renewal not used", "err", err)
 		}
 	}
@@ -289,7 +296,24 @@
 	f.cfg.Metrics.Add("plan.bytes", int64(len(part.GetData())))
 	f.isUnserved = false
 	f.pace.arrived(now.Sub(sent))
-	return f.use(now, part)
+	err = f.use(now, part)
+	f.watchMismatch(now, address, err)
+	return err
+}
+
+// watchMismatch counts and logs that a plan from source does not match its checksum, if err says so. The caller
+// holds f.mu.
+func (f *Follower) watchMismatch(now time.Time, source string, err error) {
+	if !errors.Is(err, errMismatch) {
+		return
+	}
+	f.cfg.Metrics.Add("plan.mismatches", 1)
+	if now.Sub(f.mismatchLoggedAt) < lagLogInterval {
+		return
+	}
+	f.mismatchLoggedAt = now
+	_ = level.Error(f.cfg.Logger).Log("msg", "plan does not match its checksum", "from", source, "plan", f.held.Version,
+		"wanted", f.wanted.Version, "err", err)
 }
 
 // fail records a call that failed. The caller holds f.mu.
--- a/core/connection/mpplan/transfer.go
+++ b/core/connection/mpplan/transfer.go
@@ -70,8 +70,8 @@
 	if err == nil && t.base != 0 {
 		source, err = mpdelta.Apply(held.Source, source, maxPlanBytes)
 	}
-	if err == nil && xxhash.Sum64(source) != t.sum {
-		err = mperror.Wrap(mperror.ErrInvalid, "its checksum differs")
+	if got := xxhash.Sum64(source); err == nil && got != t.sum {
+		err = mperror.Wrap(errMismatch, "checksum %x, want %x", got, t.sum)
 	}
 	return mpview.Routing{Version: t.version, Source: source}, mperror.Wrap(err, "plan %d from base %x", t.version, t.base)
 }
