mpproxy: Name the stage that a stage waits for when its request ends

The error of a request that ended while a stage waited for another one said only that its time was over, as for a stage that waits for room at its pool.

--- a/core/request/mpproxy/stages.go
+++ b/core/request/mpproxy/stages.go
@@ -223,7 +223,7 @@
 		select {
 		case <-s.ready[in]:
 		case <-ctx.Done():
-			return ctx.Err()
+			return mperror.Wrap(ctx.Err(), "stage %d waits for stage %d", i, in)
 		}
 	}
 	inputs := s.inputs(i)
