mpstate: Tie version, source and checksum of the plan in force together

What callers saw: every request got 503, on old and new routes, until an operator published a higher version.

Cause: a Publish that changes nothing ran the branch for one that does. With equal versions the checksum of the plan in force, a field of its own beside the view, became that of the content that was not taken. Voters that had looked in between kept the right one; those that replayed their log had the wrong one. VMs found that the plan did not match, and asked again for ever.

Change: mpstate.Plan is made from the view's plan alone, so that a checksum that is not that of its source cannot be expressed. View.Replaces decides whether a plan takes effect. One that does not counts as a revision, since voters of earlier builds count it, and has no other effect. A leader acknowledges it without an entry of the log, so that an operator who repeats a version wakes no VM. A VM checks the plan of the version in force against the checksum in the replicated view, so it gets the plan from voters of earlier builds, too. Content that is published again with another version reaches VMs.

Why it works: the view was always right, since it takes a plan only if the version is higher; all else now follows from it. A log that holds a repeated version is replayed with the right checksum, without a higher version.

--- a/core/connection/mpplan/mpplan.go
+++ b/core/connection/mpplan/mpplan.go
@@ -80,10 +80,9 @@
 
 	// mu is held while a plan is taken into use.
 	mu sync.Mutex
-	// held is the plan that the VM has, with checksum heldSum, and wanted the one in force, as far as it
-	// knows.
-	held, wanted mpview.Routing
-	heldSum      uint64
+	// held is the plan that the VM has, with heldID, and wanted the one in force, as far as it knows.
+	held           mpview.Routing
+	heldID, wanted mpview.PlanID
 	// isUnusable is set if held could not be taken into use.
 	isUnusable bool
 	// isUnserved is set if the leader does not serve parts, since its build is older.
@@ -109,7 +108,7 @@
 func (f *Follower) Sum() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.heldSum
+	return f.heldID.Sum
 }
 
 // IsUnserved reports whether the leader is of an earlier build, which sends plans with whole views and
@@ -147,11 +146,15 @@
 func (f *Follower) Follow(now time.Time, inForce mpview.Routing, encoded *mpwire.PlanPart) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if inForce.Version > f.wanted.Version {
-		f.wanted = inForce.WithoutSource()
+	if inForce.Version >= f.wanted.Version && inForce.Version > 0 {
+		f.wanted = inForce.ID()
 	}
-	if len(inForce.Source) > 0 {
+	switch {
+	case len(inForce.Source) > 0:
 		f.take(now, inForce)
+	case f.heldID.Sum == f.wanted.Sum && f.heldID != f.wanted:
+		// The VM has the plan, which was published again with another version.
+		f.take(now, mpview.Routing{Version: f.wanted.Version, Source: f.held.Source})
 	}
 	if encoded != nil {
 		if err := f.use(now, encoded); err != nil {
@@ -191,11 +194,17 @@
 }
 
 // lacks reports whether the VM lacks the plan in force. The caller holds f.mu.
-func (f *Follower) lacks() bool { return f.held.Version < f.wanted.Version || f.isUnusable }
+func (f *Follower) lacks() bool { return f.isUnusable || f.isNewer(f.wanted) }
+
+// isNewer reports whether a plan replaces the one that the VM has. One of the same version does if it is the one
+// in force and has other content. The caller holds f.mu.
+func (f *Follower) isNewer(plan mpview.PlanID) bool {
+	return plan.Version > f.heldID.Version || plan == f.wanted && plan.Version == f.heldID.Version && plan != f.heldID
+}
 
 // use adds a part of a plan, and takes the plan into use if it is complete. The caller holds f.mu.
 func (f *Follower) use(now time.Time, part *mpwire.PlanPart) error {
-	if part.GetVersion() <= f.held.Version {
+	if !f.isNewer(mpview.PlanID{Version: part.GetVersion(), Sum: part.GetSum()}) {
 		return errNothingNew
 	}
 	if !f.transfer.add(part) {
@@ -205,7 +214,7 @@
 	if !f.transfer.isComplete() {
 		return nil
 	}
-	plan, err := f.transfer.plan(f.held)
+	plan, err := f.transfer.plan(f.held, f.wanted)
 	f.transfer, f.isDoubted = transfer{}, err != nil
 	if err != nil {
 		return err
@@ -216,14 +225,15 @@
 
 // take takes a newer plan into use. The caller holds f.mu.
 func (f *Follower) take(now time.Time, plan mpview.Routing) {
-	if plan.Version <= f.held.Version {
+	id := plan.ID()
+	if !f.isNewer(id) {
 		return
 	}
 	err := f.cfg.Adopt(now, plan)
 	if f.isUnusable = err != nil; err != nil {
 		_ = level.Error(f.cfg.Logger).Log("msg", "plan cannot be used; keeping the previous one", "plan", plan.Version, "err", err)
 	}
-	f.held, f.heldSum, f.isUnserved = plan, plan.Checksum(), false
+	f.held, f.heldID, f.isUnserved = plan, id, false
 	if f.transfer.version <= plan.Version || f.transfer.base != 0 {
 		f.transfer = transfer{} // It is older, or leads from the plan before.
 	}
@@ -258,7 +268,7 @@
 func (f *Follower) next(now time.Time) (*mpwire.FetchRequest, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.lacks() || f.isUnusable && f.held.Version >= f.wanted.Version {
+	if !f.lacks() || f.isUnusable && !f.isNewer(f.wanted) {
 		return nil, false
 	}
 	if now.Sub(f.loggedAt) >= lagLogInterval {
@@ -266,7 +276,7 @@
 		_ = level.Warn(f.cfg.Logger).Log("msg", "plan lags", "plan", f.held.Version, "wanted", f.wanted.Version, "for", now.Sub(f.lacksSince),
 			"arrived", len(f.transfer.data), "of", f.transfer.size, "part", f.pace.bytes)
 	}
-	base := f.heldSum
+	base := f.heldID.Sum
 	if f.isDoubted {
 		base = 0
 	}
--- a/core/connection/mpplan/mpplan_test.go
+++ b/core/connection/mpplan/mpplan_test.go
@@ -246,3 +246,62 @@
 		})
 	}
 }
+
+// Guards against a VM that refuses the plan in force for ever, because voters of an earlier build announce it with the
+// checksum of another plan that was published with its version and did not take effect.
+func TestPlanWithTheChecksumOfAnother(t *testing.T) {
+	other := mpview.Routing{Version: two.Version, Source: []byte(`"other"`)}
+	announcedAs := func(part *mpwire.PlanPart, plan mpview.Routing) *mpwire.PlanPart {
+		part.Sum = plan.Checksum()
+		return part
+	}
+	for name, c := range map[string]struct {
+		part *mpwire.PlanPart
+		want []uint64
+		err  error
+	}{
+		"the whole plan, announced as the other":     {announcedAs(wholePart(two), other), []uint64{1, 2}, nil},
+		"the difference, announced as the other":     {announcedAs(deltaPart(one, two), other), []uint64{1, 2}, nil},
+		"the other plan, announced as itself":        {wholePart(other), []uint64{1}, errMismatch},
+		"the other plan, announced as that in force": {announcedAs(wholePart(other), two), []uint64{1}, errMismatch},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFollower()
+			f.renew(start, one, nil)
+			f.renew(start, two.WithoutSource(), nil)
+			if err := f.arrive(start, c.part); !errors.Is(err, c.err) {
+				t.Errorf("error %v, want %v", err, c.err)
+			}
+			checkAdopted(t, f, c.want...)
+		})
+	}
+}
+
+// Guards against a VM that keeps a plan because it has the version of the plan in force, or lacks one although it has
+// the content.
+func TestContentDecidesBesideTheVersion(t *testing.T) {
+	t.Run("other content with the version in force", func(t *testing.T) {
+		f := newTestFollower()
+		f.renew(start, one, nil)
+		other := mpview.Routing{Version: one.Version, Source: []byte(`"other"`)}
+		f.renew(start, other.WithoutSource(), nil)
+		checkState(t, f, start.Add(testLease), Replaced)
+		if err := f.arrive(start.Add(testLease), wholePart(other)); err != nil {
+			t.Fatal(err)
+		}
+		checkAdopted(t, f, 1, 1)
+		if diff := cmp.Diff(other.Checksum(), f.Sum()); diff != "" {
+			t.Errorf("checksum (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("the content of the VM with a higher version", func(t *testing.T) {
+		f := newTestFollower()
+		f.renew(start, one, nil)
+		f.renew(start, mpview.Routing{Version: 3, Source: one.Source}.WithoutSource(), nil)
+		checkState(t, f, start.Add(testLease-1), InForce)
+		checkAdopted(t, f, 1, 3)
+		if _, ok := f.next(start); ok {
+			t.Error("the plan is fetched again")
+		}
+	})
+}
--- a/core/connection/mpplan/transfer.go
+++ b/core/connection/mpplan/transfer.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mustardpost.org/core/common/mpdelta"
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mpflate"
@@ -64,16 +62,22 @@
 // isComplete reports whether all parts have arrived.
 func (t *transfer) isComplete() bool { return t.isRunning() && len(t.data) == t.size }
 
-// plan returns the plan that has arrived, for a VM that has the given one.
-func (t *transfer) plan(held mpview.Routing) (mpview.Routing, error) {
+// plan returns the plan that has arrived, for a VM that has the plan held. The plan in force is known by the
+// replicated view, so its checksum goes before the one that a voter announced for that version.
+func (t *transfer) plan(held mpview.Routing, inForce mpview.PlanID) (mpview.Routing, error) {
 	source, err := mpflate.Unpack(t.data, maxPlanBytes)
 	if err == nil && t.base != 0 {
 		source, err = mpdelta.Apply(held.Source, source, maxPlanBytes)
 	}
-	if got := xxhash.Sum64(source); err == nil && got != t.sum {
-		err = mperror.Wrap(errMismatch, "checksum %x, want %x", got, t.sum)
+	plan := mpview.Routing{Version: t.version, Source: source}
+	want := mpview.PlanID{Version: t.version, Sum: t.sum}
+	if t.version == inForce.Version {
+		want = inForce
+	}
+	if got := plan.ID(); err == nil && got != want {
+		err = mperror.Wrap(errMismatch, "checksum %x, want %x", got.Sum, want.Sum)
 	}
-	return mpview.Routing{Version: t.version, Source: source}, mperror.Wrap(err, "plan %d from base %x", t.version, t.base)
+	return plan, mperror.Wrap(err, "plan %d from base %x", t.version, t.base)
 }
 
 // pace decides how large the next part is.
--- a/core/process/mplead/mplead.go
+++ b/core/process/mplead/mplead.go
@@ -163,6 +163,9 @@
 	if o, ok := c.(mpstate.RolloutOrder); ok {
 		return l.orderRollout(ctx, o)
 	}
+	if r, ok := l.answerSuperseded(c); ok {
+		return r, nil
+	}
 	return l.commit(ctx, c)
 }
 
--- a/core/process/mplead/plans_test.go
+++ b/core/process/mplead/plans_test.go
@@ -47,14 +47,19 @@
 }
 
 func testPlan(version uint64, source string) mpstate.Plan {
-	return mpstate.Plan{Routing: mpview.Routing{Version: version, Source: []byte(source)}, Sum: xxhash.Sum64String(source)}
+	return mpstate.NewPlan(mpview.Routing{Version: version, Source: []byte(source)}, 0)
+}
+
+// planRouting returns a plan as it is published.
+func planRouting(p mpstate.Plan) mpview.Routing {
+	return mpview.Routing{Version: p.Version(), Source: p.Source()}
 }
 
 // fetchAll reads an encoding in parts of most bytes, from several voters in turn, and returns the plan.
 // between is called after each part.
 func fetchAll(t *testing.T, voters []*plans, inForce mpstate.Plan, has mpstate.Plan, most int, between func(parts int)) (plan string, bytes int) {
 	t.Helper()
-	r := &mpwire.FetchRequest{Base: has.Sum, Most: uint32(most)}
+	r := &mpwire.FetchRequest{Base: has.Sum(), Most: uint32(most)}
 	var data []byte
 	var first *mpwire.PlanPart
 	for parts := 0; first == nil || len(data) < int(first.GetSize()); parts++ {
@@ -71,7 +76,7 @@
 	}
 	source, err := mpflate.Unpack(data, maxTestPlanBytes)
 	if err == nil && first.GetBase() != 0 {
-		source, err = mpdelta.Apply(has.Source, source, maxTestPlanBytes)
+		source, err = mpdelta.Apply(has.Source(), source, maxTestPlanBytes)
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -81,8 +86,8 @@
 
 func checkPlan(t *testing.T, got string, want mpstate.Plan) {
 	t.Helper()
-	if diff := cmp.Diff(xxhash.Sum64String(got), want.Sum); diff != "" {
-		t.Errorf("got a plan of %d bytes, want plan %d of %d bytes", len(got), want.Version, len(want.Source))
+	if diff := cmp.Diff(xxhash.Sum64String(got), want.Sum()); diff != "" {
+		t.Errorf("got a plan of %d bytes, want plan %d of %d bytes", len(got), want.Version(), len(want.Source()))
 	}
 }
 
@@ -99,11 +104,11 @@
 	got, bytes := fetchAll(t, []*plans{p}, after, before, inlinePlanBytes, func(int) {})
 	checkPlan(t, got, after)
 	if bytes > maxChangeBytes {
-		t.Errorf("a change of a plan of %d bytes takes %d bytes, want at most %d", len(after.Source), bytes, maxChangeBytes)
+		t.Errorf("a change of a plan of %d bytes takes %d bytes, want at most %d", len(after.Source()), bytes, maxChangeBytes)
 	}
 	whole, wholeBytes := fetchAll(t, []*plans{p}, after, mpstate.Plan{}, inlinePlanBytes, func(int) {})
 	checkPlan(t, whole, after)
-	t.Logf("a plan of %d bytes: a change takes %d bytes, the whole plan %d", len(after.Source), bytes, wholeBytes)
+	t.Logf("a plan of %d bytes: a change takes %d bytes, the whole plan %d", len(after.Source()), bytes, wholeBytes)
 }
 
 // Guards against a transfer that begins anew each time that the plan is replaced: a VM on a small link
@@ -153,12 +158,12 @@
 		want    shape
 	}{
 		"there is no plan":                  {mpstate.Plan{}, &mpwire.FetchRequest{}, shape{}},
-		"the VM has the plan in force":      {after, &mpwire.FetchRequest{Base: after.Sum}, shape{Version: 2, Sum: after.Sum}},
-		"the VM has the plan before":        {after, &mpwire.FetchRequest{Base: before.Sum}, shape{Version: 2, Sum: after.Sum, Base: before.Sum}},
-		"the VM has an unknown plan":        {after, &mpwire.FetchRequest{Base: unknown}, shape{Version: 2, Sum: after.Sum}},
-		"parts of an unknown plan":          {after, &mpwire.FetchRequest{Sum: unknown, Offset: 5}, shape{Version: 2, Sum: after.Sum}},
-		"more than there is of the plan":    {after, &mpwire.FetchRequest{Sum: after.Sum, Offset: 1 << 30}, shape{Version: 2, Sum: after.Sum}},
-		"parts from a base that is unknown": {after, &mpwire.FetchRequest{Sum: after.Sum, Base: unknown, Offset: 5}, shape{Version: 2, Sum: after.Sum}},
+		"the VM has the plan in force":      {after, &mpwire.FetchRequest{Base: after.Sum()}, shape{Version: 2, Sum: after.Sum()}},
+		"the VM has the plan before":        {after, &mpwire.FetchRequest{Base: before.Sum()}, shape{Version: 2, Sum: after.Sum(), Base: before.Sum()}},
+		"the VM has an unknown plan":        {after, &mpwire.FetchRequest{Base: unknown}, shape{Version: 2, Sum: after.Sum()}},
+		"parts of an unknown plan":          {after, &mpwire.FetchRequest{Sum: unknown, Offset: 5}, shape{Version: 2, Sum: after.Sum()}},
+		"more than there is of the plan":    {after, &mpwire.FetchRequest{Sum: after.Sum(), Offset: 1 << 30}, shape{Version: 2, Sum: after.Sum()}},
+		"parts from a base that is unknown": {after, &mpwire.FetchRequest{Sum: after.Sum(), Base: unknown, Offset: 5}, shape{Version: 2, Sum: after.Sum()}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPlans()
@@ -180,7 +185,7 @@
 	}
 	bytes := 0
 	for _, k := range p.kept {
-		bytes += len(k.Source)
+		bytes += len(k.Source())
 	}
 	if n := len(p.kept); n > maxKeptPlans || bytes > maxKeptPlanBytes || n < 2 {
 		t.Errorf("%d plans of %d bytes are kept", n, bytes)
@@ -214,7 +219,7 @@
 		time.Sleep(fleetLease + DriftMargin(fleetLease)) // The leases of former leaders have ended.
 		renew()
 		checkInForce(true)
-		if err := leader.proposeChange(t.Context(), mpview.Publish{Routing: randomPlan(2, 4*inlinePlanBytes).Routing}); err != nil {
+		if err := leader.proposeChange(t.Context(), mpview.Publish{Routing: planRouting(randomPlan(2, 4*inlinePlanBytes))}); err != nil {
 			t.Fatal(err)
 		}
 		if part := renew().GetPlan(); part != nil {
@@ -222,8 +227,123 @@
 		}
 		renew()
 		checkInForce(false)
-		r.Plan = leader.cfg.StateMachine.Plan().Sum
+		r.Plan = leader.cfg.StateMachine.Plan().Sum()
 		renew()
 		checkInForce(true)
 	})
 }
+
+// publish commits plans one after the other to the log of a leader.
+func publish(t *testing.T, l *Leader, versions []mpview.Routing) {
+	t.Helper()
+	for _, r := range versions {
+		data, err := mpstate.Encode(1, mpstate.Change{Change: mpview.Change{Op: mpview.Publish{Routing: r}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.cfg.StateMachine.Apply(0, data)
+	}
+}
+
+// checkServedPlan checks that the plan which a voter hands out matches the checksum that it announces, and that
+// this is the plan in force.
+func checkServedPlan(t *testing.T, l *Leader, want string) {
+	t.Helper()
+	part := l.Fetch(time.Unix(1000, 0), &mpwire.FetchRequest{Most: maxPlanPartBytes})
+	source, err := mpflate.Unpack(part.GetData(), maxTestPlanBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(source)); diff != "" {
+		t.Errorf("plan (-want +got):\n%s", diff)
+	}
+	if got := xxhash.Sum64(source); got != part.GetSum() {
+		t.Errorf("the plan has the checksum %x, announced as %x", got, part.GetSum())
+	}
+}
+
+// Guards against voters that announce the checksum of a plan which did not take effect: other content had been
+// published with the version in force, and no VM could take the plan over.
+func TestServedPlanOfARepeatedVersion(t *testing.T) {
+	a := mpview.Routing{Version: 2, Source: []byte(`"a"`)}
+	b := mpview.Routing{Version: 2, Source: []byte(`"b"`)}
+	older := mpview.Routing{Version: 1, Source: []byte(`"older"`)}
+	for name, versions := range map[string][]mpview.Routing{
+		"once":                    {a},
+		"repeated":                {a, b},
+		"repeated twice":          {a, b, b},
+		"unchanged":               {a, a},
+		"followed by an older":    {a, older},
+		"repeated after an older": {older, a, b, older},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, _ := newTestLeader(t)
+			publish(t, l, versions)
+			checkServedPlan(t, l, `"a"`)
+		})
+	}
+	t.Run("at a voter that looked in between", func(t *testing.T) {
+		l, _ := newTestLeader(t)
+		publish(t, l, []mpview.Routing{a})
+		checkServedPlan(t, l, `"a"`)
+		publish(t, l, []mpview.Routing{b})
+		checkServedPlan(t, l, `"a"`)
+	})
+	t.Run("at a voter that was restored", func(t *testing.T) {
+		from, _ := newTestLeader(t)
+		to, _ := newTestLeader(t)
+		publish(t, from, []mpview.Routing{a, b})
+		data, err := from.cfg.StateMachine.Snapshot()()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := to.cfg.StateMachine.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		publish(t, to, []mpview.Routing{b})
+		checkServedPlan(t, to, `"a"`)
+	})
+}
+
+// Guards against an operator who repeats a version and wakes all VMs each time.
+func TestRepeatedVersionCostsNothing(t *testing.T) {
+	const repeats = 20
+	synctest.Test(t, func(t *testing.T) {
+		l := newHerd(t).leader
+		machine := l.cfg.StateMachine
+		before, records := machine.View().Revision(), len(machine.Audit(0, repeats))
+		urgent, _ := machine.Urgent()
+		for _, source := range []string{`{}`, `{"other":1}`} {
+			for range repeats {
+				if err := l.proposeChange(t.Context(), mpview.Publish{Routing: mpview.Routing{Version: 1, Source: []byte(source)}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		after, _ := machine.Urgent()
+		got := []uint64{machine.View().Revision(), after, uint64(len(machine.Audit(0, repeats)))}
+		if diff := cmp.Diff([]uint64{before, urgent, uint64(records)}, got); diff != "" {
+			t.Errorf("revision, urgent revision and audit records (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against a VM that never gets a plan whose content was in force before: the encoding had the version of
+// the earlier plan, which the VM takes for an old one.
+func TestContentThatIsPublishedAgain(t *testing.T) {
+	first, between, again := testPlan(1, `"content"`), testPlan(2, `"between"`), testPlan(3, `"content"`)
+	p, now := newPlans(), time.Unix(1000, 0)
+	p.part(now, first, &mpwire.FetchRequest{Most: 100})
+	p.part(now, between, &mpwire.FetchRequest{Base: first.Sum(), Most: 100})
+	for name, r := range map[string]*mpwire.FetchRequest{
+		"whole":      {Most: 100},
+		"difference": {Base: between.Sum(), Most: 100},
+		"by its sum": {Sum: again.Sum(), Most: 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(again.Version(), p.part(now, again, r).GetVersion()); diff != "" {
+				t.Errorf("version (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/process/mplead/renew.go
+++ b/core/process/mplead/renew.go
@@ -27,7 +27,7 @@
 	}
 	confirmed := r.GetRevision()
 	if plan := l.cfg.StateMachine.Plan(); lacksPlan(r, plan) {
-		confirmed = min(confirmed, plan.PublishedAt-1)
+		confirmed = min(confirmed, plan.PublishedAt()-1)
 	}
 	l.mu.Lock()
 	l.leaseTracker.Confirm(r.GetVm(), confirmed)
@@ -62,7 +62,7 @@
 	now := time.Now()
 	granted := revision
 	if plan := l.cfg.StateMachine.Plan(); lacksPlan(r, plan) && !holdsPlan(part, plan) {
-		granted = min(granted, plan.PublishedAt-1)
+		granted = min(granted, plan.PublishedAt()-1)
 	}
 	l.leaseTracker.Grant(now, r.GetVm(), granted)
 	reply := &mpwire.RenewReply{
--- a/core/process/mplead/smalllink_test.go
+++ b/core/process/mplead/smalllink_test.go
@@ -125,7 +125,7 @@
 	publish := func() {
 		t.Helper()
 		version++
-		if err := leader.proposeChange(t.Context(), mpview.Publish{Routing: randomPlan(version, smallLinkPlanBytes).Routing}); err != nil {
+		if err := leader.proposeChange(t.Context(), mpview.Publish{Routing: planRouting(randomPlan(version, smallLinkPlanBytes))}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/core/version/mpstate/machine.go
+++ b/core/version/mpstate/machine.go
@@ -56,11 +56,8 @@
 	orders     orders
 	// accepted holds the orders of roll-outs that may be repeated.
 	accepted []acceptedOrder
-	// publishedAt is the revision of the newest change that published a plan. The changes in deltas
-	// have the checksums of plans in place of the sources.
-	publishedAt uint64
-	// planSum is the checksum of the plan in force.
-	planSum uint64
+	// plan is the plan of view. The changes in deltas have the checksums of plans in place of the sources.
+	plan Plan
 	// encoded is the encoded view with the source of the plan, and lean the one without.
 	encoded, lean encodedView
 	clockMs       int64
@@ -183,6 +180,9 @@
 		rec.Before = &before
 	}
 	published, isPublish := c.Change.Op.(mpview.Publish)
+	if isPublish && !m.view.Replaces(published) {
+		return m.skipPublish(next)
+	}
 	if isPublish {
 		published.Routing = published.Routing.WithoutSource()
 		rec.Change.Op = published
@@ -192,20 +192,14 @@
 		return Result{Code: CodeInvalid, Text: err.Error()}
 	}
 	m.abandonClaims(c.Change.Op)
-	m.view = next
 	if isPublish {
-		m.publishedAt = next.Revision()
-		if next.Routing().Version == published.Routing.Version {
-			m.planSum = published.Routing.Sum
-		}
+		m.plan = NewPlan(next.Routing(), next.Revision())
 		// Record only the version in the audit trail, because the documents of
 		// old plans would take too much memory.
 		rec.Change.Op = mpview.Publish{Routing: mpview.Routing{Version: published.Routing.Version}}
 	}
 	m.audit = lastN(append(m.audit, rec), maxAuditRecords)
-	m.appendDelta(delta)
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.advance(next, delta)
 	if isUrgent(c.Change.Op) {
 		m.urgentRevision = next.Revision()
 		close(m.urgentChanged)
@@ -214,6 +208,49 @@
 	return Result{Code: CodeDone, Revision: next.Revision()}
 }
 
+// skipPublish applies a Publish that does not take effect. It counts as a revision, since voters of earlier
+// builds count it and VMs compare revisions, but it is neither urgent nor part of the audit trail. VMs get
+// the ID of the plan in force, not that of the other one.
+func (m *Machine) skipPublish(next *mpview.View) Result {
+	inForce := mpview.Publish{Routing: mpview.Routing{Version: m.plan.Version(), Sum: m.plan.Sum()}}
+	delta, err := json.Marshal(mpview.Change{Revision: next.Revision(), Op: inForce})
+	if err != nil {
+		return Result{Code: CodeInvalid, Text: err.Error()}
+	}
+	m.advance(next, delta)
+	return m.superseded()
+}
+
+// superseded returns the result of a Publish that does not take effect: it is done as soon as the plan in
+// force is.
+func (m *Machine) superseded() Result {
+	return Result{Code: CodeDone, Revision: m.plan.PublishedAt()}
+}
+
+// Superseded returns the result of a command that publishes a plan which cannot take effect any more, whatever
+// else is committed before it, and that plan beside the one in force. It returns false for every other command.
+func (m *Machine) Superseded(c Command) (r Result, published, inForce mpview.PlanID, ok bool) {
+	change, _ := c.(Change)
+	publish, isPublish := change.Change.Op.(mpview.Publish)
+	if !isPublish || change.Base != 0 {
+		return Result{}, mpview.PlanID{}, mpview.PlanID{}, false
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.view.Replaces(publish) {
+		return Result{}, mpview.PlanID{}, mpview.PlanID{}, false
+	}
+	return m.superseded(), publish.Routing.ID(), m.plan.ID(), true
+}
+
+// advance replaces the view with the next one, to which the encoded change leads.
+func (m *Machine) advance(next *mpview.View, delta []byte) {
+	m.view = next
+	m.appendDelta(delta)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // isUrgent reports whether VMs need a change at once. One that joins, or whose lease has ended, is
 // not urgent: VMs cannot rely on who is up in any case, and after a loss of many VMs a change for
 // each of them would otherwise be sent to all the others one by one.
@@ -296,20 +333,11 @@
 	return m.urgentRevision, m.urgentChanged
 }
 
-// Plan is the plan in force at a revision.
-type Plan struct {
-	mpview.Routing
-	// Sum identifies the plan; it is 0 if there is none.
-	Sum uint64
-	// PublishedAt is the revision of the newest change that published a plan, or a later one.
-	PublishedAt uint64
-}
-
 // Plan returns the plan in force. The caller must not modify its source.
 func (m *Machine) Plan() Plan {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return Plan{Routing: m.view.Routing(), Sum: m.planSum, PublishedAt: m.publishedAt}
+	return m.plan
 }
 
 // ChangesSince returns the encoded changes after revision, and the revision that
@@ -329,7 +357,7 @@
 func (m *Machine) changesSince(revision uint64, lean bool) (changes [][]byte, view []byte, at uint64, err error) {
 	m.mu.RLock()
 	at = m.view.Revision()
-	isKept := revision > 0 && revision < at && revision+1 >= m.firstDelta && (lean || revision >= m.publishedAt)
+	isKept := revision > 0 && revision < at && revision+1 >= m.firstDelta && (lean || revision >= m.plan.PublishedAt())
 	if revision == at || isKept {
 		defer m.mu.RUnlock()
 		if revision == at {
@@ -445,8 +473,8 @@
 	m.clockMs = w.ClockMs
 	m.orders, m.accepted = w.Orders, w.Accepted
 	m.encoded, m.lean = encodedView{}, encodedView{}
-	m.urgentRevision, m.publishedAt = w.View.Revision(), w.View.Revision()
-	m.planSum = w.View.Routing().Checksum()
+	m.urgentRevision = w.View.Revision()
+	m.plan = NewPlan(w.View.Routing(), w.View.Revision())
 	close(m.changed)
 	close(m.urgentChanged)
 	m.changed, m.urgentChanged = make(chan struct{}), make(chan struct{})
--- a/core/version/mpview/view.go
+++ b/core/version/mpview/view.go
@@ -51,14 +51,21 @@
 	Sum uint64 `json:"sum,omitempty"`
 }
 
-// Checksum returns the number that identifies the source, or 0 if there is no plan.
+// PlanID identifies a plan by its version and the checksum of its source.
+type PlanID struct{ Version, Sum uint64 }
+
+// Checksum returns the number that identifies the source, or 0 if there is no plan. Where there is a source,
+// Sum does not count.
 func (r Routing) Checksum() uint64 {
-	if r.Sum != 0 || len(r.Source) == 0 {
+	if len(r.Source) == 0 {
 		return r.Sum
 	}
 	return xxhash.Sum64(r.Source)
 }
 
+// ID returns the version and the checksum of the plan.
+func (r Routing) ID() PlanID { return PlanID{r.Version, r.Checksum()} }
+
 // WithoutSource returns the plan with the checksum in place of the source.
 func (r Routing) WithoutSource() Routing {
 	return Routing{Version: r.Version, Sum: r.Checksum()}
@@ -106,6 +113,10 @@
 // Routing returns the published plan. Its version is 0 if none is published.
 func (v *View) Routing() Routing { return v.routing }
 
+// Replaces reports whether a published plan takes effect. Otherwise the plan in force stays, whatever the
+// content of the published one.
+func (v *View) Replaces(p Publish) bool { return p.Routing.Version > v.routing.Version }
+
 // IsOut reports whether the named target is marked as out of service.
 func (v *View) IsOut(t Target, name string) bool {
 	_, ok := v.outOfService[markKey(t, name)]
@@ -248,7 +259,7 @@
 			delete(next.strikes, p)
 		}
 	case Publish:
-		if op.Routing.Version > v.routing.Version {
+		if v.Replaces(op) {
 			next.routing = op.Routing
 		}
 	case Roll:
