mpproxy: Delay only stages that no other stage reads

What callers saw: on a route with a stage of large results that another stage reads, no request was served.

Cause: a stage without inputs whose results are large waits for the inputs of the deepest other branch. The rule did not ask whether the stage itself is read by others, so it could wait for itself, for a stage that reads it, or for one that waits for it.

Change: stageGraph has what each stage waits for, computed once for a request. Only leaves are delayed, and only by stages that others read, so what a leaf waits for never waits for a leaf, and the graph has no cycle.

--- a/core/request/mpproxy/stages.go
+++ b/core/request/mpproxy/stages.go
@@ -23,6 +23,7 @@
 type stageRun struct {
 	exchange *exchange
 	counts   []int
+	graph    stageGraph
 	// dc returns the data centre of the upstream to which the request will be sent, as far as that is
 	// known. The owner of its engines is asked when the first stage with a large result starts.
 	dc    func() string
@@ -50,6 +51,7 @@
 	s := &stageRun{
 		exchange:          e,
 		counts:            e.r.Pieces,
+		graph:             newStageGraph(e.route, e.r.Pieces),
 		ready:             make([]chan struct{}, len(spec.Stages)),
 		results:           make([][]mpbatch.Result, len(spec.Stages)),
 		unfinishedReaders: make([]int, len(spec.Stages)),
@@ -63,19 +65,16 @@
 	return err
 }
 
-// runAll runs each stage once its prerequisites are done, and stores the results
+// runAll runs each stage once those that it comes after are done, and stores the results
 // that the request itself reads in exchange.inputs. On failure it frees all results.
 func (s *stageRun) runAll(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	leaves := s.exchange.route.Leaves(s.counts)
 	for i := range s.counts {
 		s.ready[i] = make(chan struct{})
-		for _, in := range s.inputs(i) {
-			s.unfinishedReaders[in]++
-		}
+		s.unfinishedReaders[i] = len(s.graph.consumers[i])
 	}
-	for _, i := range leaves {
+	for _, i := range s.graph.leaves {
 		s.unfinishedReaders[i]++
 	}
 	var wg sync.WaitGroup
@@ -84,7 +83,7 @@
 			continue
 		}
 		wg.Go(func() {
-			if err := s.runOne(ctx, i, s.prerequisites(i, leaves)); err != nil {
+			if err := s.runOne(ctx, i); err != nil {
 				cancel(err)
 			}
 		})
@@ -96,7 +95,7 @@
 		}
 		return err
 	}
-	for _, i := range leaves {
+	for _, i := range s.graph.leaves {
 		s.exchange.inputs = append(s.exchange.inputs, input{s.pool(i), handles(s.results[i])})
 	}
 	return nil
@@ -107,7 +106,7 @@
 func (s *stageRun) chooseDC(ctx context.Context) string {
 	e, now := s.exchange, s.exchange.p.cfg.Clock()
 	readsLarge := func(i int) bool { return e.route.Spec().Stages[i].ResultBytes >= largeResultBytes }
-	if slices.ContainsFunc(e.route.Leaves(s.counts), readsLarge) {
+	if slices.ContainsFunc(s.graph.leaves, readsLarge) {
 		e.assign(ctx, s.timeLeft(now))
 	}
 	if e.assignment != nil {
@@ -121,6 +120,7 @@
 // timeLeft returns the expected time until the stages that have not ended do.
 func (s *stageRun) timeLeft(now time.Time) time.Duration {
 	left := time.Duration(0)
+	rest := s.remainingTimes(now)
 	for i, n := range s.counts {
 		select {
 		case <-s.ready[i]:
@@ -128,8 +128,7 @@
 		default:
 		}
 		if n > 0 {
-			_, expected := s.remainingTime(now, i)
-			left = max(left, s.backlog(now, i)+s.batchDuration(i)+expected)
+			left = max(left, s.backlog(now, i)+s.batchDuration(i)+rest[i].expected)
 		}
 	}
 	return max(left-s.exchange.p.forecast.firstTokenTime(s.exchange.pool.Spec().Name, s.exchange.r.Prompt), 0)
@@ -139,34 +138,46 @@
 // queues of its stages, the request would both be late and wait long in them. Such a
 // request should retry later rather than take capacity from others in the early stages.
 func (s *stageRun) checkExpectedLatency(now time.Time) error {
+	queues, rest := s.queueTimes(now), s.remainingTimes(now)
 	for i, n := range s.counts {
-		if n == 0 || len(s.inputs(i)) > 0 {
+		if n == 0 || len(s.graph.inputs[i]) > 0 {
 			continue
 		}
-		wait, at := s.totalWait(now, i)
-		_, expected := s.remainingTime(now, i)
-		end := now.Add(s.backlog(now, i) + s.batchDuration(i) + expected)
-		if wait > mpbatch.MaxLateWait && end.After(s.exchange.softDeadline) {
-			return &mpbatch.LateError{Stage: at, Wait: wait}
+		end := now.Add(s.backlog(now, i) + s.batchDuration(i) + rest[i].expected)
+		if queues[i].total > mpbatch.MaxLateWait && end.After(s.exchange.softDeadline) {
+			return &mpbatch.LateError{Stage: queues[i].longestAt, Wait: queues[i].total}
 		}
 	}
 	return nil
 }
 
-// totalWait returns the expected queueing time of the request from stage i on, and
-// the stage with the longest wait.
-func (s *stageRun) totalWait(now time.Time, i int) (total time.Duration, longestStage int) {
-	own := s.backlog(now, i)
-	longestStage = i
-	for _, next := range s.consumers(i) {
-		if rest, at := s.totalWait(now, next); rest > total {
-			total = rest
-			if s.backlog(now, at) > own {
-				longestStage = at
+// queueTime is the expected queueing time of a request from one of its stages on, with the stage at which it
+// waits longest.
+type queueTime struct {
+	total, own time.Duration
+	longestAt  int
+}
+
+// queueTimes returns the queueing times from each stage on.
+func (s *stageRun) queueTimes(now time.Time) []queueTime {
+	out := make([]queueTime, len(s.counts))
+	for i, n := range slices.Backward(s.counts) {
+		if n == 0 {
+			continue
+		}
+		q := queueTime{own: s.backlog(now, i), longestAt: i}
+		for _, next := range s.graph.consumers[i] {
+			if rest := out[next]; rest.total > q.total {
+				q.total = rest.total
+				if out[rest.longestAt].own > q.own {
+					q.longestAt = rest.longestAt
+				}
 			}
 		}
+		q.total += q.own
+		out[i] = q
 	}
-	return own + total, longestStage
+	return out
 }
 
 func (s *stageRun) backlog(now time.Time, i int) time.Duration {
@@ -175,58 +186,14 @@
 
 func (s *stageRun) pool(i int) string { return s.exchange.route.Spec().Stages[i].Pool }
 
-func (s *stageRun) inputs(i int) []int {
-	if s.counts[i] == 0 {
-		return nil
-	}
-	return s.exchange.route.Inputs(i, s.counts)
-}
-
-// consumers returns the stages that read the results of stage i.
-func (s *stageRun) consumers(i int) []int {
-	var out []int
-	for next := i + 1; next < len(s.counts); next++ {
-		if slices.Contains(s.inputs(next), i) {
-			out = append(out, next)
-		}
-	}
-	return out
-}
-
-// prerequisites returns the stages that must be done before stage i starts. These
-// are its inputs. A stage without inputs that produces a large result for the
-// request itself waits for the inputs of the last stage of the deepest other branch.
-func (s *stageRun) prerequisites(i int, leaves []int) []int {
-	own := s.inputs(i)
-	if len(own) > 0 || s.exchange.route.Spec().Stages[i].ResultBytes < largeResultBytes {
-		return own
-	}
-	deepest, best := 0, []int(nil)
-	for _, leaf := range leaves {
-		if d := s.depth(leaf); leaf != i && d > deepest {
-			deepest, best = d, s.inputs(leaf)
-		}
-	}
-	return best
-}
-
-func (s *stageRun) depth(i int) int {
-	d := 0
-	for _, in := range s.inputs(i) {
-		d = max(d, 1+s.depth(in))
-	}
-	return d
-}
-
-func (s *stageRun) runOne(ctx context.Context, i int, prerequisites []int) error {
-	for _, in := range prerequisites {
+func (s *stageRun) runOne(ctx context.Context, i int) error {
+	for _, in := range s.graph.after[i] {
 		select {
 		case <-s.ready[in]:
 		case <-ctx.Done():
 			return mperror.Wrap(ctx.Err(), "stage %d waits for stage %d", i, in)
 		}
 	}
-	inputs := s.inputs(i)
 	start := s.exchange.p.cfg.Clock()
 	results, err := s.exchange.p.cfg.StageExecutor.Make(ctx, s.pool(i), s.jobSpec(start, i))
 	if err != nil {
@@ -237,7 +204,7 @@
 	s.results[i] = results
 	s.mu.Unlock()
 	close(s.ready[i])
-	for _, in := range inputs {
+	for _, in := range s.graph.inputs[i] {
 		s.mu.Lock()
 		s.unfinishedReaders[in]--
 		last := s.unfinishedReaders[in] == 0
@@ -260,21 +227,21 @@
 }
 
 func (s *stageRun) jobSpec(now time.Time, i int) mpbatch.JobSpec {
-	minimum, expected := s.remainingTime(now, i)
+	rest := s.remainingTimes(now)[i]
 	spec := mpbatch.JobSpec{
 		Request:      s.exchange.r.ID,
 		Stage:        i,
 		Count:        s.counts[i],
 		ResultBytes:  s.exchange.route.Spec().Stages[i].ResultBytes,
 		Priority:     s.exchange.priority,
-		SoftDeadline: s.exchange.softDeadline.Add(-expected),
-		Deadline:     s.exchange.startDeadline.Add(-minimum),
+		SoftDeadline: s.exchange.softDeadline.Add(-rest.expected),
+		Deadline:     s.exchange.startDeadline.Add(-rest.minimum),
 		CrossDCBytes: s.exchange.route.Spec().Stages[i].ResultBytes,
 	}
 	if spec.CrossDCBytes >= largeResultBytes {
 		spec.DC = s.dc()
 	}
-	inputs := s.inputs(i)
+	inputs := s.graph.inputs[i]
 	if len(inputs) == 0 {
 		spec.Key = s.exchange.r.PieceKey
 		return spec
@@ -315,19 +282,29 @@
 	return out
 }
 
-// remainingTime returns the minimum and the expected time that the request needs
-// after stage i.
-func (s *stageRun) remainingTime(now time.Time, i int) (minimum, expected time.Duration) {
-	for _, next := range s.consumers(i) {
-		nextMinimum, nextExpected := s.remainingTime(now, next)
-		wait := max(s.exchange.p.forecast.stageWait(s.pool(next)), s.backlog(now, next))
-		nextMinimum, nextExpected = nextMinimum+s.batchDuration(next), nextExpected+s.batchDuration(next)+wait
-		minimum, expected = max(minimum, nextMinimum), max(expected, nextExpected)
-	}
-	if minimum == 0 {
-		return firstTokenOverhead, s.exchange.p.forecast.firstTokenTime(s.exchange.pool.Spec().Name, s.exchange.r.Prompt)
+// remainingTime is the minimum and the expected time that a request needs after one of its stages.
+type remainingTime struct{ minimum, expected time.Duration }
+
+// remainingTimes returns the times that the request needs after each stage.
+func (s *stageRun) remainingTimes(now time.Time) []remainingTime {
+	last := remainingTime{firstTokenOverhead, s.exchange.p.forecast.firstTokenTime(s.exchange.pool.Spec().Name, s.exchange.r.Prompt)}
+	out := make([]remainingTime, len(s.counts))
+	// with are the times that each stage takes itself beside those after it.
+	with := make([]remainingTime, len(s.counts))
+	for i, n := range slices.Backward(s.counts) {
+		if n == 0 {
+			continue
+		}
+		for _, next := range s.graph.consumers[i] {
+			out[i].minimum, out[i].expected = max(out[i].minimum, with[next].minimum), max(out[i].expected, with[next].expected)
+		}
+		if len(s.graph.consumers[i]) == 0 {
+			out[i] = last
+		}
+		wait := max(s.exchange.p.forecast.stageWait(s.pool(i)), s.backlog(now, i))
+		with[i] = remainingTime{out[i].minimum + s.batchDuration(i), out[i].expected + s.batchDuration(i) + wait}
 	}
-	return minimum, expected
+	return out
 }
 
 func (s *stageRun) batchDuration(i int) time.Duration {
--- a/core/version/mproute/stages.go
+++ b/core/version/mproute/stages.go
@@ -1,23 +1,25 @@
 package mproute
 
-import "slices"
-
 // Inputs returns the stages whose results stage i reads. counts holds the number
 // of pieces for each stage of a request. A stage without pieces is omitted and
 // replaced by its own inputs.
 func (r *Route) Inputs(i int, counts []int) []int {
-	return r.resolveOmitted(r.spec.Stages[i].After, counts, nil)
+	return r.resolveOmitted(r.spec.Stages[i].After, counts, make([]bool, len(counts)), nil)
 }
 
-func (r *Route) resolveOmitted(stages, counts, out []int) []int {
+// resolveOmitted appends the stages with pieces, and those that an omitted one reads. It visits no stage twice,
+// since there may be very many ways to one.
+func (r *Route) resolveOmitted(stages, counts []int, visited []bool, out []int) []int {
 	for _, s := range stages {
-		if counts[s] == 0 {
-			out = r.resolveOmitted(r.spec.Stages[s].After, counts, out)
+		if visited[s] {
 			continue
 		}
-		if !slices.Contains(out, s) {
-			out = append(out, s)
+		visited[s] = true
+		if counts[s] == 0 {
+			out = r.resolveOmitted(r.spec.Stages[s].After, counts, visited, out)
+			continue
 		}
+		out = append(out, s)
 	}
 	return out
 }
