--- a/core/request/mpproxy/stages.go
+++ b/core/request/mpproxy/stages.go
@@ -1,6 +1,7 @@
 package mpproxy
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -78,12 +79,17 @@
 		s.unfinishedReaders[i]++
 	}
 	var wg sync.WaitGroup
+	// first is the error of the first stage that failed. It says which one that was, while the cause of ctx does not
+	// if the time of the request has ended.
+	var first error
+	var failed sync.Once
 	for i, n := range s.counts {
 		if n == 0 {
 			continue
 		}
 		wg.Go(func() {
 			if err := s.runOne(ctx, i); err != nil {
+				failed.Do(func() { first = err })
 				cancel(err)
 			}
 		})
@@ -93,7 +99,7 @@
 		for i := range s.results {
 			s.free(i)
 		}
-		return err
+		return cmp.Or(first, err)
 	}
 	for _, i := range s.graph.leaves {
 		s.exchange.inputs = append(s.exchange.inputs, input{s.pool(i), handles(s.results[i])})
