mpanswer, mpdial: Tell a reset that a write has met from the end of an answer

What callers saw: a part of an answer as the whole. The server had answered a long upload at once with a 200 without a length, sent part of its body, and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the writer of the request gets it, the reader of the same connection sees a plain end of file, which is how a body without length or chunks ends. In ServeTunnel the goroutine that writes can get it as well; the reading loop then returned nil, and the far VM saw a clean end.

Change: mpdial.WatchEnd asks the kernel at each end of file whether the connection is still open for writing. If it is not, or a write has failed, the read returns io.ErrUnexpectedEOF. A write that is merely stuck does not matter, since a sound server may answer early and leave the rest unread (TestEndDuringAnUpload). All reading of answers goes through mpanswer.Transport, which watches its connections; so do tunnels. A load report and the answer to an order count only if their end has arrived.

Why it works: after a reset the kernel closes the connection, whoever got the report; after an end alone it stays in CLOSE_WAIT.

--- /dev/null
+++ b/core/connection/mpanswer/answer_test.go
@@ -0,0 +1,131 @@
+package mpanswer
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mustardpost.org/core/connection/mpscript"
+)
+
+const testHeadBytes = 8 << 10
+
+func newTestTransport() *Transport {
+	return New(Config{Dial: (&net.Dialer{}).DialContext, MaxHeadBytes: testHeadBytes})
+}
+
+// answer is what a client gets. Body is empty unless it is whole.
+type answer struct {
+	Status int
+	Body   string
+	Failed bool
+}
+
+// ask sends a request with a method and a body to a server.
+func ask(t *testing.T, tr *Transport, address, method string, body io.Reader) (answer, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+address, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return answer{Failed: true}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{Status: resp.StatusCode, Failed: true}, err
+	}
+	return answer{Status: resp.StatusCode, Body: string(got)}, nil
+}
+
+func checkAnswer(t *testing.T, want, got answer) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against sound answers that are refused.
+func TestSoundAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		text, method string
+		want         answer
+	}{
+		"a length":                      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"chunks":                        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Y: 1\r\n\r\n", "GET", answer{200, "whole", false}},
+		"the end of the connection":     {"HTTP/1.1 200 OK\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"HTTP/1.0":                      {"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"equal lengths":                 {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\ncontent-length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"no reason":                     {"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"an empty reason":               {"HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"a reason in Latin-1":           {"HTTP/1.1 200 tr\xe8s bien\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"an empty value":                {"HTTP/1.1 200 OK\r\nX-Y:\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"blanks around a value":         {"HTTP/1.1 200 OK\r\nContent-Length:\t 5 \r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"a folded value":                {"HTTP/1.1 200 OK\r\nX-Y: a\r\n b\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"line feeds":                    {"HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole", "GET", answer{200, "whole", false}},
+		"an interim answer":             {"HTTP/1.1 103 Early Hints\r\nX-Y: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+		"a refusal":                     {"HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{503, "whole", false}},
+		"the highest status":            {"HTTP/1.1 599 Odd\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{599, "whole", false}},
+		"a length without a body":       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD", answer{200, "", false}},
+		"a status that has no body":     {"HTTP/1.1 204 None\r\n\r\n", "GET", answer{204, "", false}},
+		"names in the body":             {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nX Y: 1\n", "GET", answer{200, "X Y: 1\n", false}},
+		"a head in the body":            {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n", "GET", answer{200, "HTTP/1.1 000 Odd\r\n\r\n", false}},
+		"as large a head as is allowed": {"HTTP/1.1 200 OK\r\nX-Y: " + strings.Repeat("x", testHeadBytes-100) + "\r\nContent-Length: 5\r\n\r\nwhole", "GET", answer{200, "whole", false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := ask(t, newTestTransport(), mpscript.Listen(t, mpscript.Answer(c.text)), c.method, nil)
+			if err != nil {
+				t.Error(err)
+			}
+			checkAnswer(t, c.want, got)
+		})
+	}
+	t.Run("byte by byte", func(t *testing.T) {
+		const text = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+		address := mpscript.Listen(t, func(c *net.TCPConn) {
+			_ = c.SetNoDelay(true)
+			for i := range len(text) {
+				_, _ = io.WriteString(c, text[i:i+1])
+				time.Sleep(time.Millisecond)
+			}
+		})
+		got, err := ask(t, newTestTransport(), address, http.MethodGet, nil)
+		if err != nil {
+			t.Error(err)
+		}
+		checkAnswer(t, answer{200, "whole", false}, got)
+	})
+}
+
+// Guards against a part of an answer that counts as the whole, because the reset that ended it was met by the
+// write of a long request.
+func TestResetDuringAnUpload(t *testing.T) {
+	const uploads, uploadBytes = 60, 8 << 20
+	address := mpscript.Listen(t, mpscript.ResetEarly("HTTP/1.1 200 OK\r\n\r\npart", time.Millisecond))
+	body := make([]byte, uploadBytes)
+	for range uploads {
+		if got, _ := ask(t, newTestTransport(), address, http.MethodPost, bytes.NewReader(body)); !got.Failed {
+			t.Fatalf("answer %d %q, want an error", got.Status, got.Body)
+		}
+	}
+}
+
+// Guards against an answer that is lost because its server ends it without reading the rest of the request.
+func TestEndDuringAnUpload(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address := mpscript.Listen(t, mpscript.EndEarly("HTTP/1.1 413 Too Large\r\n\r\nwhole", release))
+	got, err := ask(t, newTestTransport(), address, http.MethodPost, bytes.NewReader(make([]byte, 32<<20)))
+	if err != nil {
+		t.Error(err)
+	}
+	checkAnswer(t, answer{413, "whole", false}, got)
+}
--- a/core/connection/mpplatform/mpplatform.go
+++ b/core/connection/mpplatform/mpplatform.go
@@ -46,7 +46,7 @@
 
 // New returns a client for the list at url.
 func New(url string) *Client {
-	return &Client{url: url, http: &http.Client{Timeout: listTimeout, Transport: mpupstream.NewCallTransport()}}
+	return &Client{url: url, http: &http.Client{Timeout: listTimeout, Transport: mpupstream.NewCallTransport(false)}}
 }
 
 // List fetches the platform's list. Entries that cannot be decoded are left out, since other writers
--- a/core/connection/mprelay/dialer.go
+++ b/core/connection/mprelay/dialer.go
@@ -366,7 +366,7 @@
 		return nil, mperror.Wrap(mperror.ErrNoUpstream, "%v", err)
 	}
 	d.cfg.Metrics.Add("relay.in", 1)
-	return &countedTunnel{Conn: conn, tunnels: &d.tunnels}, nil
+	return &countedTunnel{Conn: mpdial.WatchEnd(conn), tunnels: &d.tunnels}, nil
 }
 
 // countedTunnel is a connection that counts as a tunnel until it is closed.
--- a/core/connection/mprelay/tunnel_test.go
+++ b/core/connection/mprelay/tunnel_test.go
@@ -16,6 +16,7 @@
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/connection/mppeer"
+	"mustardpost.org/core/connection/mpscript"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 )
@@ -127,6 +128,23 @@
 			t.Errorf("read %q with error %v, want half of an answer and an error", got, err)
 		}
 	})
+	t.Run("a reset during an upload", func(t *testing.T) {
+		// The write of the far VM meets the reset.
+		for range 20 {
+			conn := dial(t, mpscript.Listen(t, mpscript.ResetEarly("HTTP/1.1 200 OK\r\n\r\npart", time.Millisecond)))
+			go func() {
+				_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000000\r\n\r\n")
+				for err == nil {
+					_, err = conn.Write(make([]byte, 64<<10))
+				}
+			}()
+			got, err := io.ReadAll(conn)
+			_ = conn.Close()
+			if err == nil {
+				t.Fatalf("read %q and the end, want an error", got)
+			}
+		}
+	})
 	t.Run("the caller leaves", func(t *testing.T) {
 		ended := make(chan error, 1)
 		conn := dial(t, listen(t, func(c *net.TCPConn) {
--- a/core/connection/mpreport/mpreport.go
+++ b/core/connection/mpreport/mpreport.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/common/mptime"
 	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/process/mpowner"
@@ -47,7 +48,7 @@
 
 // New returns a poller.
 func New(cfg Config) *Poller {
-	return &Poller{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: mpupstream.NewCallTransport()}}
+	return &Poller{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: mpupstream.NewCallTransport(false)}}
 }
 
 // Run polls until ctx ends.
@@ -68,18 +69,31 @@
 }
 
 func (p *Poller) poll(ctx context.Context, group, upstream, url string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	r, err := p.read(ctx, url)
 	if err != nil {
 		return
 	}
+	p.cfg.Owner.ReportLoad(time.Now(), group, upstream, mppermit.LoadReport{Instance: r.Instance, Waiting: r.Waiting, Cold: r.Cold})
+}
+
+// read reads the report at url. A report counts only if it is complete.
+func (p *Poller) read(ctx context.Context, url string) (Report, error) {
+	var r Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return r, mperror.Wrap(err, "load report at %s", url)
+	}
 	resp, err := p.http.Do(req)
 	if err != nil {
-		return
+		return r, mperror.Wrap(err, "load report at %s", url)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var r Report
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&r) != nil {
-		return
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return r, mperror.Wrap(err, "load report at %s", url)
 	}
-	p.cfg.Owner.ReportLoad(time.Now(), group, upstream, mppermit.LoadReport{Instance: r.Instance, Waiting: r.Waiting, Cold: r.Cold})
+	if resp.StatusCode != http.StatusOK {
+		return r, mperror.Wrap(mperror.ErrBadResponse, "load report at %s: %s", url, resp.Status)
+	}
+	return r, mperror.Wrap(json.Unmarshal(body, &r), "load report at %s", url)
 }
--- /dev/null
+++ b/core/connection/mpscript/mpscript.go
@@ -0,0 +1,100 @@
+// Package mpscript has servers for tests that send given bytes, also such as are no answer of HTTP/1.1.
+package mpscript
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// smallBufferBytes is the size of the buffers of servers that do not read what is sent to them.
+const smallBufferBytes = 4 << 10
+
+// Server serves one connection, which is closed afterwards.
+type Server func(c *net.TCPConn)
+
+// Listen starts a server, and returns its address. It ends with the test.
+func Listen(t testing.TB, s Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if tcp, ok := c.(*net.TCPConn); ok {
+				go func() {
+					defer func() { _ = tcp.Close() }()
+					s(tcp)
+				}()
+			}
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Answer returns a server that reads one request and sends text.
+func Answer(text string) Server {
+	return func(c *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+// InTurn returns a server that serves the first connection by first, and all others by others.
+func InTurn(first, others Server) Server {
+	var isLater atomic.Bool
+	return func(c *net.TCPConn) {
+		if isLater.Swap(true) {
+			others(c)
+			return
+		}
+		first(c)
+	}
+}
+
+// ResetEarly returns a server that sends text once it has read the head of a request, and resets the connection
+// after delay without having read the body.
+func ResetEarly(text string, delay time.Duration) Server {
+	return func(c *net.TCPConn) {
+		if !readHead(c) {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		time.Sleep(delay)
+		_ = c.SetLinger(0)
+	}
+}
+
+// EndEarly returns a server that sends text once it has read the head of a request, ends what it sends, and
+// keeps the connection open without reading the body until release is closed.
+func EndEarly(text string, release <-chan struct{}) Server {
+	return func(c *net.TCPConn) {
+		if !readHead(c) {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		_ = c.CloseWrite()
+		<-release
+	}
+}
+
+// readHead reads the head of a request, and hardly more.
+func readHead(c *net.TCPConn) bool {
+	_ = c.SetReadBuffer(smallBufferBytes)
+	_, err := http.ReadRequest(bufio.NewReaderSize(c, smallBufferBytes))
+	return err == nil
+}
--- a/core/connection/mpupstream/call_test.go
+++ b/core/connection/mpupstream/call_test.go
@@ -27,7 +27,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			unit := bytes.Repeat([]byte(repeat), 1+(64<<10)/len(repeat))
-			client := &http.Client{Timeout: 5 * time.Second, Transport: NewCallTransport()}
+			client := &http.Client{Timeout: 5 * time.Second, Transport: NewCallTransport(false)}
 			done := make(chan error)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
--- a/core/connection/mpupstream/transport.go
+++ b/core/connection/mpupstream/transport.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"mustardpost.org/core/connection/mpanswer"
 	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/process/mpmetric"
 	"mustardpost.org/core/process/mpusage"
@@ -43,7 +44,7 @@
 type Transport struct {
 	// pooled keeps idle connections. unpooled makes one for each request, which http.Transport
 	// never replaces.
-	pooled, unpooled *http.Transport
+	pooled, unpooled *mpanswer.Transport
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -64,26 +65,24 @@
 // newTransport returns a transport that keeps up to maxIdlePerHost idle connections
 // per upstream for idleTimeout, requests no compression and uses no proxy.
 func newTransport(dial mpdial.Func, maxIdlePerHost int, idleTimeout time.Duration) *Transport {
-	t := &http.Transport{
-		DialContext:            dial,
-		MaxIdleConnsPerHost:    maxIdlePerHost,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
-	unpooled := t.Clone()
-	unpooled.DisableKeepAlives = true
-	return &Transport{pooled: t, unpooled: unpooled}
+	cfg := mpanswer.Config{Dial: dial, MaxIdlePerHost: maxIdlePerHost, IdleTimeout: idleTimeout, MaxHeadBytes: maxResponseHeaderBytes}
+	t := &Transport{pooled: mpanswer.New(cfg)}
+	cfg.IsSingleUse = true
+	t.unpooled = mpanswer.New(cfg)
+	return t
 }
 
-// NewCallTransport returns a transport for calls whose responses are read at once, up to a limit. It
-// limits their heads as well, which net/http would hold up to 10 MiB of.
-func NewCallTransport() *http.Transport {
-	return &http.Transport{IdleConnTimeout: callIdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+// NewCallTransport returns a transport for calls whose responses are read at once, up to a limit. With isSingleUse
+// each of them gets a connection of its own.
+func NewCallTransport(isSingleUse bool) *mpanswer.Transport {
+	return mpanswer.New(mpanswer.Config{
+		Dial: (&net.Dialer{}).DialContext, IdleTimeout: callIdleTimeout, MaxHeadBytes: maxResponseHeaderBytes,
+		IsSingleUse: isSingleUse, AcceptsGzip: true,
+	})
 }
 
 // RoundTrip sends req and returns the response. A request with Close set gets a new connection. Errors
-// are those of http.Transport.
+// are those of mpanswer.Transport.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	switch {
 	case req.Close:
@@ -137,6 +136,9 @@
 	metrics *mpmetric.Set
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.metrics.Add(mpusage.UpstreamIn, int64(n))
--- a/core/process/mporder/mporder.go
+++ b/core/process/mporder/mporder.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -20,6 +21,8 @@
 const (
 	pollInterval  = 100 * time.Millisecond
 	commitTimeout = 3 * time.Second
+	// maxAnswerBytes is how much of an answer is read, of which only the status counts.
+	maxAnswerBytes = 1 << 10
 )
 
 // Config configures an Executor.
@@ -46,8 +49,7 @@
 func New(cfg Config) *Executor {
 	// The transport sends requests again only on reused connections, and the client
 	// only after redirects. Neither may send an order twice.
-	transport := mpupstream.NewCallTransport()
-	transport.DisableKeepAlives = true
+	transport := mpupstream.NewCallTransport(true)
 	return &Executor{
 		cfg: cfg,
 		client: &http.Client{
@@ -117,21 +119,29 @@
 	if err != nil {
 		return 0, mperror.Wrap(err, "encode order")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+up.Address+"/v1/orders", bytes.NewReader(body))
-	if err != nil {
-		return 0, mperror.Wrap(err, "create order request for %s", up.Address)
-	}
-	req.Header.Set("Content-Type", "application/json")
 	// Checked again right before sending, since the process may have been paused for
 	// long enough to lose leadership.
 	if !x.cfg.Leader.IsLeader() {
 		return 0, mperror.ErrNotLeader
 	}
+	return x.post(ctx, up.Address, body)
+}
+
+// post sends an encoded order and returns the status of the answer. An answer that is broken off is an error: the
+// order is sent again with the same fence.
+func (x *Executor) post(ctx context.Context, address string, order []byte) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/orders", bytes.NewReader(order))
+	if err != nil {
+		return 0, mperror.Wrap(err, "create order request for %s", address)
+	}
+	req.Header.Set("Content-Type", "application/json")
 	resp, err := x.client.Do(req)
 	if err != nil {
-		return 0, mperror.Wrap(err, "send order to %s", up.Address)
+		return 0, mperror.Wrap(err, "send order to %s", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.CopyN(io.Discard, resp.Body, 1<<10)
+	if _, err := io.CopyN(io.Discard, resp.Body, maxAnswerBytes); err != nil && !errors.Is(err, io.EOF) {
+		return 0, mperror.Wrap(err, "answer of %s to order", address)
+	}
 	return resp.StatusCode, nil
 }
--- a/mustardfake/internal/mpload/directory.go
+++ b/mustardfake/internal/mpload/directory.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"mustardpost.org/core/connection/mpanswer"
 )
 
 const (
 	directoryTimeout = time.Second
 	maxIdlePerHost   = 256
+	maxHeadBytes     = 32 << 10
 )
 
 // client sends requests on behalf of all callers. It caches the addresses that the
@@ -26,7 +30,9 @@
 }
 
 func newClient(initialAddresses []string) *client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0}
+	transport := mpanswer.New(mpanswer.Config{
+		Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: maxIdlePerHost, MaxHeadBytes: maxHeadBytes, AcceptsGzip: true,
+	})
 	return &client{http: &http.Client{Transport: transport}, initialAddresses: initialAddresses}
 }
 
--- a/mustardpost/internal/mpclient/mpclient.go
+++ b/mustardpost/internal/mpclient/mpclient.go
@@ -11,6 +11,7 @@
 
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpoperator"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/version/mpstate"
 )
 
@@ -34,7 +35,7 @@
 
 // New returns a Client for the VM at cfg.Address.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, http: &http.Client{Timeout: requestTimeout}}
+	return &Client{cfg: cfg, http: &http.Client{Timeout: requestTimeout, Transport: mpupstream.NewCallTransport(false)}}
 }
 
 // Get fetches path and decodes the JSON response into v.
