mpanswer: Refuse answers whose status line is malformed

What callers saw: a connection that ended without an answer, when a server sent an answer with status 000 or 099; 600 and 999 reached them as they came.

Cause: net/http's client takes any three digits for a status, and its server panics for one below 100 or above 999 ("invalid WriteHeader code 0"). After such a panic the request gave back all that it held but its place at the upstream: Selector.Done came after the round trip.

Change: mpanswer checks the status line of each head before net/http can read the end of the head. A status outside 100 to 599, 101, another major version, or a control byte in the reason phrase is no answer: the attempt has failed, and callers get the answer of another upstream or 502. A head that came before its request was sent is not its answer. An attempt gives back its place at the upstream after a panic as well.

--- a/core/connection/mpanswer/answer_test.go
+++ b/core/connection/mpanswer/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -53,6 +54,21 @@
 	}
 }
 
+// Guards against bytes of a server that are no answer and reach callers as one, such as statuses that are none.
+func TestMalformedAnswers(t *testing.T) {
+	for name, text := range mpscript.MalformedAnswers("whole") {
+		t.Run(name, func(t *testing.T) {
+			got, err := ask(t, newTestTransport(), mpscript.Listen(t, mpscript.Answer(text)), http.MethodGet, nil)
+			if !got.Failed {
+				t.Errorf("answer %d %q, want an error", got.Status, got.Body)
+			}
+			if err != nil && strings.Contains(err.Error(), "panic") {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // Guards against sound answers that are refused.
 func TestSoundAnswers(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -105,6 +121,33 @@
 	})
 }
 
+// Guards against heads of later answers on a connection that are not looked at.
+func TestLaterAnswersOnAConnection(t *testing.T) {
+	var answers [][]byte
+	for _, name := range []string{"whole", "whole"} {
+		answers = append(answers, []byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"+name))
+	}
+	answers = append(answers, []byte("HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nwhole"))
+	address := mpscript.Listen(t, func(c *net.TCPConn) {
+		buf := make([]byte, 4<<10)
+		for _, text := range answers {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+			_, _ = c.Write(text)
+		}
+	})
+	tr := newTestTransport()
+	var got []answer
+	for range answers {
+		a, _ := ask(t, tr, address, http.MethodPost, strings.NewReader("x"))
+		got = append(got, a)
+	}
+	if diff := cmp.Diff([]answer{{200, "whole", false}, {200, "whole", false}, {Failed: true}}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a part of an answer that counts as the whole, because the reset that ended it was met by the
 // write of a long request.
 func TestResetDuringAnUpload(t *testing.T) {
@@ -129,3 +172,11 @@
 	}
 	checkAnswer(t, answer{413, "whole", false}, got)
 }
+
+// Guards against an error that callers cannot tell from that of a lost connection.
+func TestErrorOfAMalformedAnswer(t *testing.T) {
+	_, err := ask(t, newTestTransport(), mpscript.Listen(t, mpscript.Answer("HTTP/1.1 000 Odd\r\n\r\n")), http.MethodGet, nil)
+	if !errors.Is(err, ErrMalformed) {
+		t.Errorf("error %v, want ErrMalformed", err)
+	}
+}
--- a/core/connection/mpanswer/transport.go
+++ b/core/connection/mpanswer/transport.go
@@ -1,16 +1,23 @@
-// Package mpanswer reads the answers of servers to HTTP/1.1 requests. It passes an answer on only if its body is whole:
-// net/http alone takes a reset that a write has met for the end of a body.
+// Package mpanswer reads the answers of servers to HTTP/1.1 requests. It passes an answer on only if its status is one
+// of RFC 9110 and its body is whole: net/http alone accepts any status of three digits, and takes a reset that a
+// write has met for the end of a body.
 package mpanswer
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
+	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpdial"
 )
 
+// ErrMalformed means that a server sent bytes that are no answer to the request.
+var ErrMalformed = errors.New("malformed answer")
+
 // Config configures a Transport.
 type Config struct {
 	// Dial makes connections.
@@ -38,7 +45,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return mpdial.WatchEnd(c), nil
+		return &conn{Conn: mpdial.WatchEnd(c), maxHeadBytes: cfg.MaxHeadBytes}, nil
 	}
 	return &Transport{&http.Transport{
 		DialContext:            dial,
@@ -50,9 +57,25 @@
 	}}
 }
 
-// RoundTrip sends req and returns the answer. Its errors are those of http.Transport.
+// RoundTrip sends req and returns the answer. Its errors are those of http.Transport, and wrap ErrMalformed if
+// what the server sent is no answer.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.http.RoundTrip(req)
+	var used *conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.begin()
+			used = c
+		}
+	}}
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if used == nil || !used.isAnswered() {
+		_ = resp.Body.Close()
+		return nil, mperror.Wrap(ErrMalformed, "its head came before the request was sent")
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
--- a/core/connection/mpplatform/mpplatform_test.go
+++ b/core/connection/mpplatform/mpplatform_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"mustardpost.org/core/connection/mpscript"
 	"mustardpost.org/core/version/mpcatalogue"
 	"mustardpost.org/core/version/mpview"
 )
@@ -104,3 +105,15 @@
 		})
 	}
 }
+
+// Guards against a list of VMs in bytes that are no answer.
+func TestListInAMalformedAnswer(t *testing.T) {
+	for name, text := range mpscript.MalformedAnswers(`[{"vm":"m1","state":"leaving"}]`) {
+		t.Run(name, func(t *testing.T) {
+			rows, _, err := New("http://" + mpscript.Listen(t, mpscript.Answer(text))).List(t.Context())
+			if err == nil {
+				t.Errorf("list %v, want an error", rows)
+			}
+		})
+	}
+}
--- a/core/connection/mprelay/tunnel_test.go
+++ b/core/connection/mprelay/tunnel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -17,6 +18,7 @@
 	"mustardpost.org/core/connection/mpdial"
 	"mustardpost.org/core/connection/mppeer"
 	"mustardpost.org/core/connection/mpscript"
+	"mustardpost.org/core/connection/mpupstream"
 	"mustardpost.org/core/connection/mpwire"
 	"mustardpost.org/core/process/mpmetric"
 )
@@ -251,3 +253,28 @@
 		}
 	}
 }
+
+// Guards against bytes of an upstream that are no answer and come by way of another VM.
+func TestMalformedAnswersByAnotherVM(t *testing.T) {
+	direct := (&net.Dialer{}).DialContext
+	for name, text := range mpscript.MalformedAnswers("whole") {
+		t.Run(name, func(t *testing.T) {
+			address := mpscript.Listen(t, mpscript.Answer(text))
+			d := newDialer(refuse, address)
+			d.SetPeers([]Peer{peerOf(t, "vm2", testSecret, relayServer{d: newDialer(direct, address)})})
+			transport := mpupstream.NewTransport(d.DialContext, mpmetric.New())
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := transport.RoundTrip(req)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("answer %s %q, want an error", resp.Status, body)
+			}
+		})
+	}
+}
--- a/core/connection/mpreport/mpreport_test.go
+++ b/core/connection/mpreport/mpreport_test.go
@@ -10,9 +10,9 @@
 
 const testReport = `{"waiting":3}`
 
-// Guards against load reports of which only a part has arrived.
+// Guards against load reports in bytes that are no answer, or of which only a part has arrived.
 func TestReportThatIsNotWhole(t *testing.T) {
-	answers := map[string]string{}
+	answers := mpscript.MalformedAnswers(testReport)
 	answers["a body that is broken off"] = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + testReport
 	answers["another status"] = "HTTP/1.1 500 Odd\r\nContent-Length: 13\r\n\r\n" + testReport
 	answers["two reports"] = "HTTP/1.1 200 OK\r\n\r\n" + testReport + testReport
--- a/core/connection/mpscript/mpscript.go
+++ b/core/connection/mpscript/mpscript.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -98,3 +99,21 @@
 	_, err := http.ReadRequest(bufio.NewReaderSize(c, smallBufferBytes))
 	return err == nil
 }
+
+// MalformedAnswers returns answers with the given body whose status line is malformed.
+func MalformedAnswers(body string) map[string]string {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	withLength := func(line string) string { return line + length + "\r\n" + body }
+	return map[string]string{
+		"status 000":                                withLength("HTTP/1.1 000 Odd\r\n"),
+		"status 099":                                withLength("HTTP/1.1 099 Odd\r\n"),
+		"status 600":                                withLength("HTTP/1.1 600 Odd\r\n"),
+		"status 999":                                withLength("HTTP/1.1 999 Odd\r\n"),
+		"status with a sign":                        withLength("HTTP/1.1 +20 Odd\r\n"),
+		"status of two digits":                      withLength("HTTP/1.1 20 Odd\r\n"),
+		"another protocol that nobody asked for":    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: odd\r\n\r\n" + body,
+		"another version":                           withLength("HTTP/2.0 200 OK\r\n"),
+		"a control byte in the reason":              withLength("HTTP/1.1 200 O\x01K\r\n"),
+		"a status line of an interim answer is odd": "HTTP/1.1 103 Early\x01\r\n\r\n" + withLength("HTTP/1.1 200 OK\r\n"),
+	}
+}
--- a/core/process/mporder/answer_test.go
+++ b/core/process/mporder/answer_test.go
@@ -8,9 +8,10 @@
 	"mustardpost.org/core/connection/mpscript"
 )
 
-// Guards against an order that counts as executed because of an answer that was broken off.
+// Guards against an order that counts as executed because of bytes that are no answer, or of an answer that was
+// broken off.
 func TestOrderWithoutAWholeAnswer(t *testing.T) {
-	answers := map[string]string{}
+	answers := mpscript.MalformedAnswers("done")
 	answers["a body that is broken off"] = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\ndone"
 	for name, text := range answers {
 		t.Run(name, func(t *testing.T) {
--- a/core/request/mpproxy/attempt.go
+++ b/core/request/mpproxy/attempt.go
@@ -216,10 +216,17 @@
 	idleTimer := e.startIdleTimer(cancel, timeout, last)
 	defer idleTimer.Stop()
 	defer e.settleAssignment(mpassign.Cancelled) // After a panic.
+	isDone := false
+	defer func() {
+		if !isDone { // After a panic.
+			e.p.cfg.Selector.Done(e.p.cfg.Clock(), row.ID, e.pickInfo, mpselect.Neutral, 0)
+		}
+	}()
 	result, outcome, why := e.roundTrip(ctx, row, timeout, idleTimer, last)
 	e.settleAssignment(assignmentEnd(result, outcome))
 	now := e.p.cfg.Clock()
 	change := e.p.cfg.Selector.Done(now, row.ID, e.pickInfo, outcome, e.workTime(now, result))
+	isDone = true
 	e.countOutcome(ctx, now, row, t, result, outcome)
 	e.logAttempt(row, result, change, why, now.Sub(e.sentAt))
 	if result == failed && outcome == mpselect.Failed && !e.isSound && ctx.Err() == nil {
