--- a/core/request/mpproxy/stages_test.go
+++ b/core/request/mpproxy/stages_test.go
@@ -1,6 +1,8 @@
 package mpproxy
 
 import (
+	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -8,11 +10,17 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"mustardpost.org/core/common/mpseed"
 	"mustardpost.org/core/request/mpbatch"
 	"mustardpost.org/core/version/mplist"
 	"mustardpost.org/core/version/mproute"
 )
 
+func TestMain(m *testing.M) {
+	fmt.Println("seed", mpseed.Fix())
+	os.Exit(m.Run())
+}
+
 const (
 	smallBytes = 8_000
 	largeBytes = 3_000_000
