mpanswer: Refuse answers whose head is malformed

What callers saw: an answer with a line whose name holds a blank, passed on as it came; or a body that was not the server's, such as the sizes of chunks, since a field that delimits the body had a blank before its colon.

Cause: for the sake of old servers net/http takes such a line for a field with another name. It also drops the length beside chunks, and chunks in HTTP/1.0, so that two readers of the same bytes may find different bodies.

TestSoundAnswers and TestLaterAnswersOnAConnection show what must still be served.

--- a/core/connection/mpanswer/answer_test.go
+++ b/core/connection/mpanswer/answer_test.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// Guards against bytes of a server that are no answer and reach callers as one, such as statuses that are none.
+// Guards against bytes of a server that are no answer and reach callers as one: statuses that are none, names of
+// fields with blanks, and bodies that end elsewhere than their server meant.
 func TestMalformedAnswers(t *testing.T) {
 	for name, text := range mpscript.MalformedAnswers("whole") {
 		t.Run(name, func(t *testing.T) {
@@ -127,7 +128,7 @@
 	for _, name := range []string{"whole", "whole"} {
 		answers = append(answers, []byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"+name))
 	}
-	answers = append(answers, []byte("HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nwhole"))
+	answers = append(answers, []byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX Y: 1\r\n\r\nwhole"))
 	address := mpscript.Listen(t, func(c *net.TCPConn) {
 		buf := make([]byte, 4<<10)
 		for _, text := range answers {
@@ -175,7 +176,7 @@
 
 // Guards against an error that callers cannot tell from that of a lost connection.
 func TestErrorOfAMalformedAnswer(t *testing.T) {
-	_, err := ask(t, newTestTransport(), mpscript.Listen(t, mpscript.Answer("HTTP/1.1 000 Odd\r\n\r\n")), http.MethodGet, nil)
+	_, err := ask(t, newTestTransport(), mpscript.Listen(t, mpscript.Answer("HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n")), http.MethodGet, nil)
 	if !errors.Is(err, ErrMalformed) {
 		t.Errorf("error %v, want ErrMalformed", err)
 	}
--- a/core/connection/mpanswer/transport.go
+++ b/core/connection/mpanswer/transport.go
@@ -1,16 +1,19 @@
-// Package mpanswer reads the answers of servers to HTTP/1.1 requests. It passes an answer on only if its status is one
-// of RFC 9110 and its body is whole: net/http alone accepts any status of three digits, and takes a reset that a
-// write has met for the end of a body.
+// Package mpanswer reads the answers of servers to HTTP/1.1 requests. It passes an answer on only if its head is
+// well formed by RFC 9112 and its body is whole: net/http alone accepts names of fields with blanks, any status
+// of three digits, two ways to delimit a body, and takes a reset that a write has met for the end of a body.
 package mpanswer
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"mustardpost.org/core/common/mperror"
 	"mustardpost.org/core/connection/mpdial"
 )
@@ -75,8 +78,30 @@
 		_ = resp.Body.Close()
 		return nil, mperror.Wrap(ErrMalformed, "its head came before the request was sent")
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
+	}
 	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
+
+// chunkedBody is a body in chunks, which is whole only if the fields behind it are well formed as well.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	for name := range b.resp.Trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return n, mperror.Wrap(ErrMalformed, "name of the field %q behind the body", name)
+		}
+	}
+	return n, err
+}
--- a/core/connection/mpscript/mpscript.go
+++ b/core/connection/mpscript/mpscript.go
@@ -100,9 +100,11 @@
 	return err == nil
 }
 
-// MalformedAnswers returns answers with the given body whose status line is malformed.
+// MalformedAnswers returns answers with the given body that are malformed by RFC 9112, but for their head or the
+// fields behind the body.
 func MalformedAnswers(body string) map[string]string {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
 	withLength := func(line string) string { return line + length + "\r\n" + body }
 	return map[string]string{
 		"status 000":                                withLength("HTTP/1.1 000 Odd\r\n"),
@@ -114,6 +116,25 @@
 		"another protocol that nobody asked for":    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: odd\r\n\r\n" + body,
 		"another version":                           withLength("HTTP/2.0 200 OK\r\n"),
 		"a control byte in the reason":              withLength("HTTP/1.1 200 O\x01K\r\n"),
+		"a blank in a name":                         withLength("HTTP/1.1 200 OK\r\nX Y: 1\r\n"),
+		"a blank behind the name of the length":     "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n" + body,
+		"a blank behind the name of the encoding":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n" + chunks + "\r\n",
+		"a tab behind a name":                       withLength("HTTP/1.1 200 OK\r\nX-Y\t: 1\r\n"),
+		"a control byte in a name":                  withLength("HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n"),
+		"DEL in a name":                             withLength("HTTP/1.1 200 OK\r\nX\x7fY: 1\r\n"),
+		"no name":                                   withLength("HTTP/1.1 200 OK\r\n: 1\r\n"),
+		"a line without a colon":                    withLength("HTTP/1.1 200 OK\r\nodd\r\n"),
+		"a control byte in a value":                 withLength("HTTP/1.1 200 OK\r\nX-Y: a\x01b\r\n"),
+		"a carriage return in a value":              withLength("HTTP/1.1 200 OK\r\nX-Y: a\rb\r\n"),
+		"a folded line without a field":             withLength("HTTP/1.1 200 OK\r\n folded\r\n"),
+		"chunks in HTTP/1.0":                        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n",
+		"a length beside chunks":                    "HTTP/1.1 200 OK\r\n" + length + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n",
+		"two lengths":                               withLength("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"),
+		"a length with a sign":                      fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: +%d\r\n\r\n%s", len(body), body),
+		"another encoding":                          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunks + "\r\n",
+		"chunks twice":                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n",
+		"a blank in the name of a field behind it":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "X Y: 1\r\n\r\n",
 		"a status line of an interim answer is odd": "HTTP/1.1 103 Early\x01\r\n\r\n" + withLength("HTTP/1.1 200 OK\r\n"),
+		"a field of an interim answer is odd":       "HTTP/1.1 103 Early\r\nX Y: 1\r\n\r\n" + withLength("HTTP/1.1 200 OK\r\n"),
 	}
 }
