--- a/core/process/mplead/plans_test.go
+++ b/core/process/mplead/plans_test.go
@@ -245,16 +245,18 @@
 	}
 }
 
-// checkServedPlan checks that the plan which a voter hands out matches the checksum that it announces, and that
-// this is the plan in force.
-func checkServedPlan(t *testing.T, l *Leader, want string) {
+// servedSource is the plan in force of the tests with checkServedPlan.
+const servedSource = `"a"`
+
+// checkServedPlan checks that a voter hands out the plan with servedSource, and with its checksum.
+func checkServedPlan(t *testing.T, l *Leader) {
 	t.Helper()
 	part := l.Fetch(time.Unix(1000, 0), &mpwire.FetchRequest{Most: maxPlanPartBytes})
 	source, err := mpflate.Unpack(part.GetData(), maxTestPlanBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(want, string(source)); diff != "" {
+	if diff := cmp.Diff(servedSource, string(source)); diff != "" {
 		t.Errorf("plan (-want +got):\n%s", diff)
 	}
 	if got := xxhash.Sum64(source); got != part.GetSum() {
@@ -265,7 +267,7 @@
 // Guards against voters that announce the checksum of a plan which did not take effect: other content had been
 // published with the version in force, and no VM could take the plan over.
 func TestServedPlanOfARepeatedVersion(t *testing.T) {
-	a := mpview.Routing{Version: 2, Source: []byte(`"a"`)}
+	a := mpview.Routing{Version: 2, Source: []byte(servedSource)}
 	b := mpview.Routing{Version: 2, Source: []byte(`"b"`)}
 	older := mpview.Routing{Version: 1, Source: []byte(`"older"`)}
 	for name, versions := range map[string][]mpview.Routing{
@@ -279,15 +281,15 @@
 		t.Run(name, func(t *testing.T) {
 			l, _ := newTestLeader(t)
 			publish(t, l, versions)
-			checkServedPlan(t, l, `"a"`)
+			checkServedPlan(t, l)
 		})
 	}
 	t.Run("at a voter that looked in between", func(t *testing.T) {
 		l, _ := newTestLeader(t)
 		publish(t, l, []mpview.Routing{a})
-		checkServedPlan(t, l, `"a"`)
+		checkServedPlan(t, l)
 		publish(t, l, []mpview.Routing{b})
-		checkServedPlan(t, l, `"a"`)
+		checkServedPlan(t, l)
 	})
 	t.Run("at a voter that was restored", func(t *testing.T) {
 		from, _ := newTestLeader(t)
@@ -301,7 +303,7 @@
 			t.Fatal(err)
 		}
 		publish(t, to, []mpview.Routing{b})
-		checkServedPlan(t, to, `"a"`)
+		checkServedPlan(t, to)
 	})
 }
 
