--- a/core/connection/mpanswer/answer_test.go
+++ b/core/connection/mpanswer/answer_test.go
@@ -1,7 +1,9 @@
 package mpanswer
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -107,14 +109,17 @@
 	}
 	t.Run("byte by byte", func(t *testing.T) {
 		const text = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
-		address := mpscript.Listen(t, func(c *net.TCPConn) {
-			_ = c.SetNoDelay(true)
+		near, far := net.Pipe() // A read gets what one write sends.
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+				return
+			}
 			for i := range len(text) {
-				_, _ = io.WriteString(c, text[i:i+1])
-				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(far, text[i:i+1])
 			}
-		})
-		got, err := ask(t, newTestTransport(), address, http.MethodGet, nil)
+		}()
+		tr := New(Config{MaxHeadBytes: testHeadBytes, Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+		got, err := ask(t, tr, "h", http.MethodGet, nil)
 		if err != nil {
 			t.Error(err)
 		}
--- a/core/connection/mprelay/tunnel_test.go
+++ b/core/connection/mprelay/tunnel_test.go
@@ -68,28 +68,6 @@
 	}}
 }
 
-// listen runs serve for each connection, and returns the address.
-func listen(t *testing.T, serve func(c *net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if tcp, ok := c.(*net.TCPConn); ok {
-				go serve(tcp)
-			}
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against a connection by way of another VM whose reset looks like its end, so that an
 // answer that was broken off counts as whole, and against one that outlives its caller.
 func TestTunnel(t *testing.T) {
@@ -104,7 +82,7 @@
 		return conn
 	}
 	t.Run("bytes both ways, and the end", func(t *testing.T) {
-		conn := dial(t, listen(t, func(c *net.TCPConn) {
+		conn := dial(t, mpscript.Listen(t, func(c *net.TCPConn) {
 			_, _ = io.CopyN(c, c, 100_000)
 			_ = c.Close()
 		}))
@@ -119,7 +97,7 @@
 		}
 	})
 	t.Run("a reset", func(t *testing.T) {
-		conn := dial(t, listen(t, func(c *net.TCPConn) {
+		conn := dial(t, mpscript.Listen(t, func(c *net.TCPConn) {
 			_, _ = io.CopyN(c, c, 4)
 			<-time.After(50 * time.Millisecond) // The other side reads what was sent.
 			_ = c.SetLinger(0)
@@ -149,7 +127,7 @@
 	})
 	t.Run("the caller leaves", func(t *testing.T) {
 		ended := make(chan error, 1)
-		conn := dial(t, listen(t, func(c *net.TCPConn) {
+		conn := dial(t, mpscript.Listen(t, func(c *net.TCPConn) {
 			_, err := c.Read(make([]byte, 1))
 			ended <- err
 		}))
@@ -165,7 +143,7 @@
 // Guards against connections that go by way of two VMs or in circles, to what is no upstream, or
 // for others than peers, and against VMs of earlier builds that are taken for witnesses.
 func TestWhoRelays(t *testing.T) {
-	address := listen(t, func(c *net.TCPConn) { _ = c.Close() })
+	address := mpscript.Listen(t, func(c *net.TCPConn) { _ = c.Close() })
 	direct := (&net.Dialer{}).DialContext
 	cut := newDialer(direct, address)
 	cut.paths.RecordRelayed(time.Now(), address)
@@ -197,7 +175,7 @@
 
 // Guards against evidence that an upstream crashed, from a VM that has lost its path to it.
 func TestIsDown(t *testing.T) {
-	address := listen(t, func(c *net.TCPConn) { _ = c.Close() })
+	address := mpscript.Listen(t, func(c *net.TCPConn) { _ = c.Close() })
 	direct := (&net.Dialer{}).DialContext
 	witness := func(t *testing.T, dial mpdial.Func) []Peer {
 		return []Peer{peerOf(t, "x", testSecret, relayServer{d: newDialer(dial, address)})}
@@ -226,8 +204,8 @@
 // Guards against requests that wait for other VMs whenever an upstream has crashed: while the own
 // path to others works, the refusal is believed, and only later connections ask.
 func TestRefusalWhileOwnPathWorks(t *testing.T) {
-	sound := listen(t, func(c *net.TCPConn) { _ = c.Close() })
-	lost := listen(t, func(c *net.TCPConn) { _ = c.Close() })
+	sound := mpscript.Listen(t, func(c *net.TCPConn) { _ = c.Close() })
+	lost := mpscript.Listen(t, func(c *net.TCPConn) { _ = c.Close() })
 	direct := (&net.Dialer{}).DialContext
 	d := newDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
 		if address == lost {
