mpproxy: Keep the time of a test from deciding which upstream it asks

Trace: after two answered requests, of which the second took longer, the selector takes u1 for up to 1.7 times as slow as usual (SpeedRange in the failed cases: 1.45 to 1.73), and rightly asks u2 first, which the test does not expect.

The test is wrong in that its first upstream depends on how long loopback requests take. No time passes for its proxy now, so that u1 is asked first.

--- a/core/request/mpproxy/resend_test.go
+++ b/core/request/mpproxy/resend_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -78,6 +79,9 @@
 			first, firstAddress := startLossy(t)
 			second, secondAddress := startLossy(t)
 			r := newEndlessHarness(t, firstAddress, secondAddress)
+			// While no time passes, u1 is chosen first however long the requests before took.
+			now := time.Now()
+			r.p.cfg.Clock = func() time.Time { return now }
 			for range 2 {
 				checkAnswer(t, answer{Status: 200}, r.serve(t.Context(), lostRequest("GET", "/read"+answeredSuffix)))
 			}
