Show that an old order to end an evacuation overtakes a newer evacuation

Requests reach servers of evacuated zones for as long as the operator sends no other order, although the evacuation was acknowledged: a machine of the core that wakes commits an order that the operator gave up and sent to another machine before. Orders to evacuate carry no number.

--- /dev/null
+++ b/review/rig3/platform.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// server is an upstream server. It runs requests and says what a sound server says.
+type server struct {
+	p                     *platform
+	id, service, ip, zone string
+	state                 string
+	slots, queue          int64
+	work                  time.Duration
+	busy                  atomic.Int64
+	running               chan struct{}
+	http                  *http.Server
+}
+
+// arrival is a request that reached a server.
+type arrival struct {
+	at               time.Time
+	server, zone, id string
+	method, target   string
+	ran              bool
+}
+
+// platform is a stand-in for the platform: the list of servers, and the servers.
+type platform struct {
+	rec     *recorder
+	prefix  string
+	mu      sync.Mutex
+	servers []*server
+	came    []arrival
+}
+
+func newPlatform(rec *recorder, prefix string) *platform {
+	p := &platform{rec: rec, prefix: prefix}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", p.list)
+	l, err := net.Listen("tcp", addr(prefix+".0.1", listPort))
+	check(err)
+	go func() { _ = http.Serve(l, mux) }()
+	return p
+}
+
+func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := []map[string]any{}
+	for _, s := range p.servers {
+		rows = append(rows, map[string]any{
+			"id": s.id, "service": s.service, "addr": addr(s.ip, appPort), "zone": s.zone, "version": "v1", "slots": s.slots,
+			"state": s.state, "coldLeftMs": 0,
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": rows, "next": nil})
+}
+
+// add starts a server.
+func (p *platform) add(service, zone string, slots, queue int, work time.Duration) *server {
+	p.mu.Lock()
+	n := len(p.servers) + 1
+	p.mu.Unlock()
+	s := &server{
+		p: p, id: fmt.Sprintf("i-%08x", 0x7f3a0000+n), service: service, ip: fmt.Sprintf("%s.1.%d", p.prefix, n), zone: zone, state: "ready",
+		slots: int64(slots), queue: int64(queue), work: work, running: make(chan struct{}, slots),
+	}
+	s.http = &http.Server{Handler: s}
+	l, err := net.Listen("tcp", addr(s.ip, appPort))
+	check(err)
+	go func() { _ = s.http.Serve(l) }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers = append(p.servers, s)
+	return s
+}
+
+// ServeHTTP answers as PROTOCOL.md says: it works on as many requests as it has slots, lets a few wait, and
+// rejects the others.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	_, _ = io.Copy(io.Discard, r.Body)
+	a := arrival{at: time.Now(), server: s.id, zone: s.zone, id: id, method: r.Method, target: r.RequestURI}
+	h := w.Header()
+	h.Set("X-Request-Id", id)
+	h.Set("X-Instance-Id", s.id)
+	reject := func(status int) {
+		h.Set("X-Not-Run", "1")
+		w.WriteHeader(status)
+		s.p.note(a)
+	}
+	if r.URL.Path == "/healthz" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
+		reject(http.StatusMisdirectedRequest)
+		return
+	}
+	if s.busy.Add(1) > s.slots+s.queue {
+		s.busy.Add(-1)
+		reject(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.busy.Add(-1)
+	a.ran = true
+	s.p.note(a)
+	select {
+	case s.running <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+	}
+	<-s.running
+	h.Set("X-Response-Seal", "seal."+s.id+"."+id)
+	h.Set("Content-Type", "text/plain")
+	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
+}
+
+func (p *platform) note(a arrival) {
+	p.mu.Lock()
+	p.came = append(p.came, a)
+	p.mu.Unlock()
+	p.rec.printf("request %s reaches server %s in %s: %s %s, ran %v", a.id, a.server, a.zone, a.method, a.target, a.ran)
+}
+
+// arrivals returns the requests that reached servers so far.
+func (p *platform) arrivals() []arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]arrival(nil), p.came...)
+}
