Show that a server that is back after a crash gets more than it bears

A cold model server gets up to 36 requests in one second, of 14.9 allowed, after it crashed and started again under its ID.

--- a/review/rig3/callers.go
+++ b/review/rig3/callers.go
@@ -16,13 +16,15 @@
 
 // clients send requests to the machines that are ready, each on a new connection.
 type clients struct {
-	rec    *recorder
-	fleet  *fleet
-	ip     string
-	host   string
-	last   atomic.Int64
-	wg     sync.WaitGroup
-	mu     sync.Mutex
+	rec   *recorder
+	fleet *fleet
+	ip    string
+	host  string
+	last  atomic.Int64
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	// header returns what a request has besides its ID and its deadline; it may be nil.
+	header func() http.Header
 	status map[int]int
 	sent   map[string]time.Time
 }
@@ -44,6 +46,9 @@
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr(m.ip, frontPort)+path, nil)
 	check(err)
 	req.Host = c.host
+	if c.header != nil {
+		req.Header = c.header()
+	}
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	start := time.Now()
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -13,6 +13,9 @@
 
 // server is an upstream server. It runs requests and says what a sound server says.
 type server struct {
+	// isEngine servers answer with a stream of events. coldUntil is when the server stops being cold.
+	isEngine              bool
+	coldUntil             time.Time
 	p                     *platform
 	id, service, ip, zone string
 	state                 string
@@ -38,6 +41,7 @@
 	mu      sync.Mutex
 	servers []*server
 	came    []arrival
+	lists   []snapshot
 }
 
 func newPlatform(rec *recorder, prefix string) *platform {
@@ -47,19 +51,46 @@
 	l, err := net.Listen("tcp", addr(prefix+".0.1", listPort))
 	check(err)
 	go func() { _ = http.Serve(l, mux) }()
+	go p.keep()
 	return p
 }
 
+// listLag is how far the list is behind.
+const listLag = 800 * time.Millisecond
+
+// keep records the list from time to time, since it lags.
+func (p *platform) keep() {
+	for range time.Tick(20 * time.Millisecond) {
+		now := time.Now()
+		p.mu.Lock()
+		rows := []map[string]any{}
+		for _, s := range p.servers {
+			rows = append(rows, map[string]any{
+				"id": s.id, "service": s.service, "addr": addr(s.ip, appPort), "zone": s.zone, "version": "v1", "slots": s.slots,
+				"state": s.state, "coldLeftMs": max(s.coldUntil.Sub(now).Milliseconds(), 0),
+			})
+		}
+		p.lists = append(p.lists, snapshot{now, rows})
+		for len(p.lists) > 1 && now.Sub(p.lists[1].at) >= listLag {
+			p.lists = p.lists[1:]
+		}
+		p.mu.Unlock()
+	}
+}
+
+// snapshot is the list at a time.
+type snapshot struct {
+	at   time.Time
+	rows []map[string]any
+}
+
 func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	rows := []map[string]any{}
-	for _, s := range p.servers {
-		rows = append(rows, map[string]any{
-			"id": s.id, "service": s.service, "addr": addr(s.ip, appPort), "zone": s.zone, "version": "v1", "slots": s.slots,
-			"state": s.state, "coldLeftMs": 0,
-		})
+	if len(p.lists) > 0 {
+		rows = p.lists[0].rows
 	}
+	p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": rows, "next": nil})
 }
@@ -73,16 +104,35 @@
 		p: p, id: fmt.Sprintf("i-%08x", 0x7f3a0000+n), service: service, ip: fmt.Sprintf("%s.1.%d", p.prefix, n), zone: zone, state: "ready",
 		slots: int64(slots), queue: int64(queue), work: work, running: make(chan struct{}, slots),
 	}
-	s.http = &http.Server{Handler: s}
-	l, err := net.Listen("tcp", addr(s.ip, appPort))
-	check(err)
-	go func() { _ = s.http.Serve(l) }()
+	s.listen()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.servers = append(p.servers, s)
 	return s
 }
 
+func (s *server) listen() {
+	s.http = &http.Server{Handler: s}
+	l, err := net.Listen("tcp", addr(s.ip, appPort))
+	check(err)
+	srv := s.http
+	go func() { _ = srv.Serve(l) }()
+}
+
+// crash ends the server. It starts again after a while, under the same ID and address, and is cold then.
+func (s *server) crash(down, cold time.Duration) (back time.Time) {
+	s.p.rec.printf("server %s crashes", s.id)
+	_ = s.http.Close()
+	time.Sleep(down)
+	s.listen()
+	back = time.Now()
+	s.p.mu.Lock()
+	s.coldUntil = back.Add(cold)
+	s.p.mu.Unlock()
+	s.p.rec.printf("server %s is back, cold for %v", s.id, cold)
+	return back
+}
+
 // ServeHTTP answers as PROTOCOL.md says: it works on as many requests as it has slots, lets a few wait, and
 // rejects the others.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -124,6 +174,15 @@
 	}
 	<-s.running
 	h.Set("X-Response-Seal", "seal."+s.id+"."+id)
+	if s.isEngine {
+		h.Set("Content-Type", "text/event-stream")
+		for i := range 4 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, id)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(s.work)
+		}
+		return
+	}
 	h.Set("Content-Type", "text/plain")
 	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
 }
