Show that results of one request are given to another

Model servers get the stage results of another request and callers get answers made of them, after a server that makes pieces has sent an answer without results twice. Answers to calls for pieces have no ID, and a copy of one without results cannot be told from the next answer, so that all later answers on the connection are taken for those of the calls after them.

--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -18,8 +18,10 @@
 	coldUntil time.Time
 	// events is the number of events of a stream, and onBody is called with the body of a request that begins
 	// to run; it may be nil.
-	events                int
-	onBody                func(body []byte)
+	events int
+	onBody func(body []byte)
+	// onInputs returns the status for the inputs that a request names; it may be nil.
+	onInputs              func(id string, handles []string) int
 	p                     *platform
 	id, service, ip, zone string
 	state                 string
@@ -101,16 +103,20 @@
 
 // add starts a server.
 func (p *platform) add(service, zone string, slots, queue int, work time.Duration) *server {
+	s := p.newServer(service, zone, slots, queue, work)
+	s.listen()
+	return s
+}
+
+// newServer adds a server to the list.
+func (p *platform) newServer(service, zone string, slots, queue int, work time.Duration) *server {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	n := len(p.servers) + 1
-	p.mu.Unlock()
 	s := &server{
 		p: p, id: fmt.Sprintf("i-%08x", 0x7f3a0000+n), service: service, ip: fmt.Sprintf("%s.1.%d", p.prefix, n), zone: zone, state: "ready",
 		slots: int64(slots), queue: int64(queue), work: work, running: make(chan struct{}, slots), events: 4,
 	}
-	s.listen()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.servers = append(p.servers, s)
 	return s
 }
@@ -159,6 +165,12 @@
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.onInputs != nil {
+		if status := s.onInputs(id, inputsOf(r.Header)); status != http.StatusOK {
+			reject(status)
+			return
+		}
+	}
 	if s.busy.Add(1) > s.slots+s.queue {
 		s.busy.Add(-1)
 		reject(http.StatusServiceUnavailable)
