--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -20,8 +20,6 @@
 	// to run; it may be nil.
 	events int
 	onBody func(body []byte)
-	// onInputs returns the status for the inputs that a request names; it may be nil.
-	onInputs              func(id string, handles []string) int
 	p                     *platform
 	id, service, ip, zone string
 	state                 string
@@ -165,12 +163,6 @@
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.onInputs != nil {
-		if status := s.onInputs(id, inputsOf(r.Header)); status != http.StatusOK {
-			reject(status)
-			return
-		}
-	}
 	if s.busy.Add(1) > s.slots+s.queue {
 		s.busy.Add(-1)
 		reject(http.StatusServiceUnavailable)
