--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -18,8 +18,8 @@
 	coldUntil time.Time
 	// events is the number of events of a stream, and onBody is called with the body of a request that begins
 	// to run; it may be nil.
-	events int
-	onBody func(body []byte)
+	events                int
+	onBody                func(body []byte)
 	p                     *platform
 	id, service, ip, zone string
 	state                 string
