Make the stand-ins of the cases sound where they were not

Clients use the machines that the directory names, servers stop at the deadline that they get, tell that they are cold on their health path, refuse requests without an ID and answer reports, and the operator follows redirects.

--- a/review/rig3/budget.go
+++ b/review/rig3/budget.go
@@ -13,6 +13,10 @@
 	budgetRatio  = 0.2
 	budgetSlack  = 56
 	budgetWindow = 10 * time.Second
+	// budgetLoad is the usual number of requests a second, for which the servers in the first zone have room. The
+	// burst has 2.5 times as many.
+	budgetLoad = 10.0
+	budgetWork = 280 * time.Millisecond
 )
 
 func init() { cases["budget"] = budget }
@@ -24,7 +28,7 @@
 	p := newPlatform(rec, prefix)
 	zones := zoneNames[:3]
 	for i := range 4 {
-		p.add("app", zones[i%len(zones)], 1, 1, 400*time.Millisecond)
+		p.add("app", []string{"a", "a", "a", "b"}[i], 1, 1, budgetWork)
 	}
 	f := newFleet(rec, prefix, 5, 9)
 	defer f.stopAll()
@@ -42,7 +46,7 @@
 	c := newClients(rec, f, host)
 	awaitReady(c, f, "/puxa400/2f")
 	stop := make(chan struct{})
-	go c.load(6, "GET", "/puxa400/2f", 3*time.Second, stop)
+	go c.load(budgetLoad, "GET", "/puxa400/2f", 3*time.Second, stop)
 	time.Sleep(3 * time.Second)
 	evacuate := func(method string) {
 		for _, zone := range zones[1:] {
@@ -74,7 +78,7 @@
 	time.Sleep(6 * time.Second)
 	rec.printf("more requests come")
 	burst := make(chan struct{})
-	go c.load(24, "GET", "/puxa400/2f", 3*time.Second, burst)
+	go c.load(1.5*budgetLoad, "GET", "/puxa400/2f", 3*time.Second, burst)
 	time.Sleep(6900 * time.Millisecond)
 	close(burst)
 	time.Sleep(6 * time.Second)
--- a/review/rig3/callers.go
+++ b/review/rig3/callers.go
@@ -9,18 +9,19 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// clients send requests to the machines that are ready, each on a new connection.
+// clients send requests to the machines that the directory names, each on a new connection.
 type clients struct {
 	rec   *recorder
 	fleet *fleet
 	ip    string
 	host  string
-	last  atomic.Int64
 	wg    sync.WaitGroup
 	mu    sync.Mutex
 	// header returns what a request has besides its ID and its deadline; it may be nil.
@@ -29,10 +30,13 @@
 	cut    atomic.Int64
 	status map[int]int
 	sent   map[string]time.Time
+	// named are the addresses that the directory last named to the clients of each zone, without those that have
+	// failed them since.
+	named map[string][]string
 }
 
 func newClients(rec *recorder, f *fleet, host string) *clients {
-	return &clients{rec: rec, fleet: f, ip: f.prefix + ".4.1", host: host, status: map[int]int{}, sent: map[string]time.Time{}}
+	return &clients{rec: rec, fleet: f, ip: f.prefix + ".4.1", host: host, status: map[int]int{}, sent: map[string]time.Time{}, named: map[string][]string{}}
 }
 
 func (c *clients) transport(ip string) *http.Transport {
@@ -74,21 +78,110 @@
 	return status
 }
 
-// load sends perSecond requests a second to machines drawn by lot until stop is closed.
+// longestTTL is ttl_max_s.
+const longestTTL = 5 * time.Second
+
+// follow asks the directory for the clients of a zone until stop is closed: up to three machines, nearest first, a
+// second for each. An answer is kept for its time, and for longer if there is no new one.
+func (c *clients) follow(zone string, stop <-chan struct{}) {
+	for {
+		ttl := 200 * time.Millisecond
+		order := append([]*machine(nil), c.fleet.machines...)
+		rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+		sort.SliceStable(order, func(i, j int) bool { return order[i].zone == zone && order[j].zone != zone })
+		for _, m := range order[:3] {
+			if addrs, d, ok := c.resolve(m, zone); ok {
+				ttl = min(d, longestTTL)
+				c.mu.Lock()
+				c.named[zone] = addrs
+				c.mu.Unlock()
+				break
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(ttl):
+		}
+	}
+}
+
+func (c *clients) resolve(m *machine, zone string) ([]string, time.Duration, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr(m.ip, dirPort)+"/api/resolve?name="+c.host+"&region=r&zone="+zone, nil)
+	check(err)
+	resp, err := c.transport(c.ip).RoundTrip(req)
+	if err != nil {
+		return nil, 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var body struct {
+		Addrs []string
+		TTLS  float64
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || resp.StatusCode != http.StatusOK || len(body.Addrs) == 0 {
+		return nil, 0, false
+	}
+	return body.Addrs, time.Duration(body.TTLS * float64(time.Second)), true
+}
+
+// pick returns a machine that the directory names to the clients of a zone, or nil.
+func (c *clients) pick(zone string) *machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	named := c.named[zone]
+	if len(named) == 0 {
+		return nil
+	}
+	at := named[rand.IntN(len(named))]
+	for _, m := range c.fleet.fronts() {
+		if addr(m.ip, frontPort) == at {
+			return m
+		}
+	}
+	return nil
+}
+
+// avoid takes a machine that has failed out of what the directory last named, if others are left.
+func (c *clients) avoid(zone string, m *machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := slices.DeleteFunc(slices.Clone(c.named[zone]), func(at string) bool { return at == addr(m.ip, frontPort) })
+	if len(left) > 0 {
+		c.named[zone] = left
+	}
+}
+
+// load sends perSecond requests a second from all zones, to machines that the directory names, until stop is closed.
 func (c *clients) load(perSecond float64, method, path string, deadline time.Duration, stop <-chan struct{}) {
+	zones := map[string]bool{}
+	for _, m := range c.fleet.machines {
+		zones[m.zone] = true
+	}
+	var names []string
+	for zone := range zones {
+		names = append(names, zone)
+		go c.follow(zone, stop)
+	}
 	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer t.Stop()
-	fronts := c.fleet.fronts()
 	for {
 		select {
 		case <-stop:
 			return
 		case <-t.C:
-			m := fronts[rand.IntN(len(fronts))]
+			zone := names[rand.IntN(len(names))]
+			m := c.pick(zone)
+			if m == nil {
+				continue
+			}
 			c.wg.Add(1)
 			go func() {
 				defer c.wg.Done()
-				c.send(m, method, path, deadline)
+				if c.send(m, method, path, deadline) == 0 {
+					c.avoid(zone, m)
+				}
 			}()
 		}
 	}
@@ -114,7 +207,13 @@
 	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(o.ip)}, Timeout: time.Second}
 	tr := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}
 	start := time.Now()
-	resp, err := tr.RoundTrip(req)
+	client := &http.Client{Transport: tr, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > 2 {
+			return http.ErrUseLastResponse
+		}
+		return nil
+	}}
+	resp, err := client.Do(req)
 	status := 0
 	if err == nil {
 		status = resp.StatusCode
--- a/review/rig3/cold.go
+++ b/review/rig3/cold.go
@@ -24,7 +24,7 @@
 	var engines []*server
 	for i := range 4 {
 		s := p.add("llm", zoneNames[i], 64, 134, 20*time.Millisecond)
-		s.isEngine = true
+		s.isEngine, s.coldS = true, coldFor.Seconds()
 		engines = append(engines, s)
 	}
 	f := newFleet(rec, prefix, 5, 8)
@@ -75,17 +75,24 @@
 	allowed := coldPerS*coldOver + coldSlack
 	worst, total := 0, 0
 	came := p.arrivals()
+	sort.Slice(came, func(i, j int) bool { return came[i].at.Before(came[j].at) })
 	for _, x := range spans {
-		var at []time.Time
+		var at, sent []time.Time
 		for _, a := range came {
 			if a.server == x.server.id && a.at.After(x.from) && a.at.Before(x.to) {
 				at = append(at, a.at)
+				sent = append(sent, c.sent[a.id])
 			}
 		}
-		sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
 		most, when := 0, time.Time{}
 		for i := range at {
-			n := sort.Search(len(at), func(k int) bool { return at[k].Sub(at[i]) >= time.Second }) - i
+			// Only requests that were sent inside that second count.
+			n := 0
+			for k := i; k < len(at) && at[k].Sub(at[i]) < time.Second; k++ {
+				if !sent[k].Before(at[i].Add(-2 * time.Millisecond)) {
+					n++
+				}
+			}
 			if n > most {
 				most, when = n, at[i]
 			}
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,8 @@
 	// isEngine servers answer with a stream of events. coldUntil is when the server stops being cold.
 	isEngine  bool
 	coldUntil time.Time
+	// coldS is how long the server is cold after a start; 0 if it never is.
+	coldS float64
 	// events is the number of events of a stream, and onBody is called with the body of a request that begins
 	// to run; it may be nil.
 	events                int
@@ -135,7 +139,7 @@
 	s.listen()
 	back = time.Now()
 	s.p.mu.Lock()
-	s.coldUntil = back.Add(cold)
+	s.coldUntil, s.coldS = back.Add(cold), cold.Seconds()
 	s.p.mu.Unlock()
 	s.p.rec.printf("server %s is back, cold for %v", s.id, cold)
 	return back
@@ -155,9 +159,23 @@
 		w.WriteHeader(status)
 		s.p.note(a)
 	}
-	if r.URL.Path == "/healthz" {
+	switch r.URL.Path {
+	case "/healthz":
+		if s.coldS > 0 {
+			s.p.mu.Lock()
+			h.Set("X-Cold-Ms", fmt.Sprint(max(time.Until(s.coldUntil).Milliseconds(), 0)))
+			s.p.mu.Unlock()
+		}
 		w.WriteHeader(http.StatusOK)
 		return
+	case "/api/report":
+		h.Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"numWaiting":%d,"numRunning":%d,"kvUsed":0,"kvTotal":548610,"handles":0}`, max(s.busy.Load()-s.slots, 0), min(s.busy.Load(), s.slots))
+		return
+	}
+	if id == "" {
+		reject(http.StatusBadRequest)
+		return
 	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		reject(http.StatusMisdirectedRequest)
@@ -169,19 +187,29 @@
 		return
 	}
 	defer s.busy.Add(-1)
-	a.ran = true
-	s.p.note(a)
+	// A server stops work at the value that it receives.
+	ctx := r.Context()
+	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms*float64(time.Millisecond)))
+		defer cancel()
+	}
 	select {
 	case s.running <- struct{}{}:
-	case <-r.Context().Done():
+	case <-ctx.Done():
+		reject(http.StatusServiceUnavailable)
 		return
 	}
+	defer func() { <-s.running }()
+	a.ran = true
+	s.p.note(a)
+	h.Set("X-Response-Seal", "seal."+s.id+"."+id)
 	select {
 	case <-time.After(s.work):
-	case <-r.Context().Done():
+	case <-ctx.Done():
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
 	}
-	<-s.running
-	h.Set("X-Response-Seal", "seal."+s.id+"."+id)
 	if s.isEngine {
 		h.Set("Content-Type", "text/event-stream")
 		if s.onBody != nil {
@@ -190,7 +218,11 @@
 		for i := range s.events {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, id)
 			_ = http.NewResponseController(w).Flush()
-			time.Sleep(s.work)
+			select {
+			case <-time.After(s.work):
+			case <-ctx.Done():
+				panic(http.ErrAbortHandler)
+			}
 		}
 		return
 	}
